--- /dev/null
+++ b/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/Main.kt
@@ -0,0 +1,5 @@
+package oriolespindle.ctl
+
+public fun main() {
+    println("oriolespindle")
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Main.kt
@@ -0,0 +1,5 @@
+package oriolespindle.router
+
+public fun main() {
+    println("oriolespindle")
+}
--- /dev/null
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/LocalFleet.kt
@@ -0,0 +1,5 @@
+package oriolespindle.testkit.fleet
+
+public fun main() {
+    println("oriolespindle")
+}
