--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/contract/ContractBook.kt
@@ -0,0 +1,147 @@
+package oriolespindle.core.contract
+
+import oriolespindle.core.id.TeamId
+
+/**
+ * The contracts in force, kept from the stored contract objects.
+ *
+ * An object that cannot be read, or that claims a key of a contract with a lower version, leaves the last good contract
+ * of its team in force and is listed in [faults]. The result depends on the objects and not on the order in which teams
+ * arrive, so that all instances agree about a key that two contracts claim.
+ */
+public class ContractBook {
+    private val entries = mutableMapOf<TeamId, Entry>()
+    private var inForce = mapOf<TeamId, Contract>()
+    private var byDigest = mapOf<KeyDigest, Contract>()
+    private var faults = listOf<ContractFault>()
+
+    /**
+     * Takes the stored object of [team] at [version].
+     *
+     * A version that is not above the newest known one is ignored.
+     */
+    public fun put(
+        team: TeamId,
+        version: Long,
+        json: String,
+    ) {
+        val known = entries[team]
+        if (known != null && version <= known.version) return
+        val result = checkName(team, ContractCodec.parse(json))
+        val good = inForce[team]?.let { VersionedContract(known!!.goodVersion(it), it) }
+        entries[team] =
+            when (result) {
+                is ContractResult.Valid -> {
+                    Entry(
+                        version,
+                        VersionedContract(version, result.contract),
+                        good,
+                        emptyList(),
+                    )
+                }
+
+                is ContractResult.Invalid -> {
+                    Entry(version, null, good, result.violations)
+                }
+            }
+        resolve()
+    }
+
+    /** Takes the deletion of the object of [team] at [version], which ends its contract. */
+    public fun remove(
+        team: TeamId,
+        version: Long,
+    ) {
+        val known = entries[team]
+        if (known != null && version <= known.version) return
+        entries[team] = Entry(version, null, null, emptyList())
+        resolve()
+    }
+
+    /** Returns the contract in force for [team], or null if there is none. */
+    public fun contract(team: TeamId): Contract? = inForce[team]
+
+    /** Returns the contract that a key with [digest] belongs to, or null if there is none. */
+    public fun contract(digest: KeyDigest): Contract? = byDigest[digest]
+
+    /** Returns all contracts in force. */
+    public fun contracts(): Collection<Contract> = inForce.values
+
+    /** Returns the newest objects that are not in force, in the order of team names. */
+    public fun faults(): List<ContractFault> = faults
+
+    private fun checkName(
+        team: TeamId,
+        result: ContractResult,
+    ): ContractResult {
+        if (result !is ContractResult.Valid || result.contract.team == team) return result
+        val violation = Violation("team", result.contract.team.value, "must be the name of the object, $team")
+        return ContractResult.Invalid(listOf(violation))
+    }
+
+    private fun resolve() {
+        val chosen = mutableMapOf<TeamId, VersionedContract>()
+        val conflicts = mutableMapOf<TeamId, List<Violation>>()
+        for ((team, entry) in entries) {
+            val contract = entry.latest ?: entry.good
+            if (contract != null) chosen[team] = contract
+        }
+        // Each round replaces or drops one chosen contract, so that this ends after at most two rounds for each team.
+        while (true) {
+            val (team, violations) = firstConflict(chosen.values) ?: break
+            val entry = entries.getValue(team)
+            if (chosen[team] === entry.latest) conflicts[team] = violations
+            val good = entry.good.takeIf { chosen[team] !== entry.good }
+            if (good != null) chosen[team] = good else chosen.remove(team)
+        }
+        inForce = chosen.mapValues { it.value.contract }
+        byDigest = inForce.values.flatMap { c -> c.keyDigests.map { it to c } }.toMap()
+        faults =
+            entries
+                .map { (team, entry) ->
+                    ContractFault(team, entry.version, entry.violations + conflicts[team].orEmpty())
+                }.filter { it.violations.isNotEmpty() }
+                .sortedBy { it.team.value }
+    }
+
+    private fun firstConflict(chosen: Collection<VersionedContract>): Conflict? {
+        val owners = mutableMapOf<KeyDigest, TeamId>()
+        for ((_, contract) in chosen.sortedWith(compareBy({ it.version }, { it.contract.team.value }))) {
+            val violations =
+                contract.keyDigests.mapNotNull { digest ->
+                    owners[digest]?.let { Violation("keyDigests", digest.value, "already belongs to team $it") }
+                }
+            if (violations.isNotEmpty()) return Conflict(contract.team, violations)
+            contract.keyDigests.forEach { owners[it] = contract.team }
+        }
+        return null
+    }
+
+    private data class VersionedContract(
+        val version: Long,
+        val contract: Contract,
+    )
+
+    private data class Conflict(
+        val team: TeamId,
+        val violations: List<Violation>,
+    )
+
+    /** The newest object of a team: its contract if it can be read, and the contract that was in force before it. */
+    private class Entry(
+        val version: Long,
+        val latest: VersionedContract?,
+        val good: VersionedContract?,
+        val violations: List<Violation>,
+    ) {
+        fun goodVersion(inForce: Contract): Long =
+            if (latest?.contract === inForce) latest.version else checkNotNull(good).version
+    }
+}
+
+/** The newest object of [team], which is not in force because of [violations]. */
+public data class ContractFault(
+    public val team: TeamId,
+    public val version: Long,
+    public val violations: List<Violation>,
+)
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/contract/FieldReader.kt
@@ -0,0 +1,135 @@
+package oriolespindle.core.contract
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+
+/**
+ * Reads typed fields of one JSON object and collects every violation.
+ *
+ * A read that fails returns a stand-in value of the right type; the caller discards the result when there are
+ * [violations].
+ */
+internal class FieldReader(
+    fields: List<JsonField>,
+) {
+    val violations = mutableListOf<Violation>()
+    private val values = mutableMapOf<String, JsonElement>()
+    private val read = mutableSetOf<String>()
+
+    init {
+        for (field in fields) {
+            val previous = values.put(field.name, field.value)
+            if (previous != null) violate(field.name, field.value.toString(), "must be given once")
+        }
+    }
+
+    fun violate(
+        field: String,
+        value: String,
+        rule: String,
+    ) {
+        val shown = if (value.length > SHOWN) value.take(SHOWN) + "..." else value
+        violations += Violation(field, shown, rule)
+    }
+
+    fun text(
+        field: String,
+        pattern: Regex,
+        rule: String,
+    ): String {
+        val element = required(field) ?: return ""
+        val text = (element as? JsonPrimitive)?.takeIf { it.isString }?.content
+        if (text == null || !pattern.matches(text)) violate(field, element.toString(), rule)
+        return text.orEmpty()
+    }
+
+    fun long(
+        field: String,
+        range: LongRange,
+    ): Long {
+        val element = required(field) ?: return range.first
+        val number = element.numberOrNull()?.toLongOrNull()
+        if (number == null || number !in range) {
+            violate(field, element.toString(), "must be an integer from ${range.first} to ${range.last}")
+        }
+        return number ?: range.first
+    }
+
+    fun int(
+        field: String,
+        range: IntRange,
+    ): Int = long(field, range.first.toLong()..range.last.toLong()).toInt()
+
+    fun double(
+        field: String,
+        range: ClosedFloatingPointRange<Double>,
+    ): Double {
+        val element = required(field) ?: return range.start
+        val number = element.numberOrNull()?.toDoubleOrNull()
+        if (number == null || number !in range) {
+            violate(field, element.toString(), "must be a number from ${range.start} to ${range.endInclusive}")
+        }
+        return number ?: range.start
+    }
+
+    fun flag(
+        field: String,
+        default: Boolean,
+    ): Boolean {
+        read += field
+        val element = values[field] ?: return default
+        val flag = (element as? JsonPrimitive)?.takeIf { !it.isString }?.contentOrNull?.toBooleanStrictOrNull()
+        if (flag == null) violate(field, element.toString(), "must be true or false")
+        return flag ?: default
+    }
+
+    /** Reads an array of distinct items; [item] returns null for an item that breaks [rule]. */
+    fun <T : Any> set(
+        field: String,
+        minimum: Int,
+        rule: String,
+        item: (JsonPrimitive) -> T?,
+    ): Set<T> {
+        val element = required(field) ?: return emptySet()
+        if (element !is JsonArray) {
+            violate(field, element.toString(), "must be an array")
+            return emptySet()
+        }
+        if (element.size < minimum) violate(field, element.toString(), "must have at least $minimum item(s)")
+        val items = mutableSetOf<T>()
+        for ((i, value) in element.withIndex()) {
+            val parsed = (value as? JsonPrimitive)?.let(item)
+            when {
+                parsed == null -> violate("$field[$i]", value.toString(), rule)
+                !items.add(parsed) -> violate("$field[$i]", value.toString(), "must not be repeated")
+            }
+        }
+        return items
+    }
+
+    /** Reports the fields that no read has asked for. */
+    fun rejectUnread() {
+        for ((name, value) in values) {
+            if (name !in read) violate(name, value.toString(), "is not a field of a contract")
+        }
+    }
+
+    private fun required(field: String): JsonElement? {
+        read += field
+        val element = values[field]
+        if (element == null) violate(field, "missing", "must be given")
+        return element
+    }
+
+    internal companion object {
+        private const val SHOWN = 80
+
+        // Kotlin's own conversions also accept forms that JSON does not have, such as NaN, 1f and 0x1p3.
+        private val NUMBER = Regex("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")
+
+        fun JsonElement.numberOrNull(): String? =
+            (this as? JsonPrimitive)?.takeIf { !it.isString && NUMBER.matches(it.content) }?.content
+    }
+}
