--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/KindCache.kt
@@ -0,0 +1,121 @@
+package oriolespindle.core.config
+
+import com.dynatrace.hash4j.hashing.Hashing
+
+/** The objects of one kind, the revision up to which they are complete, and their content hash. */
+internal class KindCache(
+    private val kind: ObjectKind,
+) {
+    private val objects = LinkedHashMap<String, StoredObject>()
+
+    /** Every change up to this revision is applied. */
+    var known: Revision = Revision.NONE
+        private set
+
+    /** The sum of the hashes of the live objects, which does not depend on their order. */
+    var contentHash: Long = 0
+        private set
+
+    private var liveCount = 0
+
+    fun get(name: String): StoredObject? = objects[name]
+
+    fun live(): List<StoredObject> = objects.values.filter { !it.deleted }
+
+    fun raise(revision: Revision) {
+        known = maxOf(known, revision)
+    }
+
+    /**
+     * Keeps [item] if it is newer than what is held.
+     *
+     * A live version up to [known] of an object that is not live here was deleted since; the tombstone is kept so that
+     * the peer that sent the object learns it.
+     */
+    fun apply(item: StoredObject): ObjectChange? {
+        val before = objects[item.key.name]
+        if (before != null && item.version <= before.version) return null
+        val absent = before == null || before.deleted
+        if (absent && !item.deleted && item.version <= known) {
+            objects[item.key.name] = StoredObject.tombstone(item.key, known)
+            return null
+        }
+        store(before, item)
+        return if (absent && item.deleted) null else ObjectChange(before, item)
+    }
+
+    /** Marks every object up to [revision] that is not in [present] as deleted. */
+    fun deleteMissing(
+        present: Set<String>,
+        revision: Revision,
+    ): List<ObjectChange> {
+        val missing = live().filter { it.version <= revision && it.key.name !in present }
+        return missing.mapNotNull { apply(StoredObject.tombstone(it.key, revision)) }
+    }
+
+    fun digest(): KindDigest = KindDigest(kind, known, buckets(bucketCount(liveCount)))
+
+    /** Whether [digest] describes the same live objects. */
+    fun matches(digest: KindDigest): Boolean = digest.buckets.sum() == contentHash
+
+    fun difference(digest: KindDigest?): List<StoredObject> {
+        if (digest == null) return objects.values.toList()
+        if (matches(digest)) return emptyList()
+        val count = digest.buckets.size
+        val own = buckets(count)
+        val differing = own.indices.filter { own[it] != digest.buckets[it] }.toSet()
+        val candidates = objects.values.filter { bucketOf(it.key.name, count) in differing }
+        val newer = candidates.filter { it.version > digest.known }
+        return newer.ifEmpty { candidates }
+    }
+
+    private fun store(
+        before: StoredObject?,
+        after: StoredObject,
+    ) {
+        if (before != null && !before.deleted) {
+            contentHash -= hashOf(before)
+            liveCount--
+        }
+        if (!after.deleted) {
+            contentHash += hashOf(after)
+            liveCount++
+        }
+        objects[after.key.name] = after
+    }
+
+    private fun buckets(count: Int): List<Long> {
+        val sums = LongArray(count)
+        objects.values
+            .filter { !it.deleted }
+            .forEach { sums[bucketOf(it.key.name, count)] += hashOf(it) }
+        return sums.asList()
+    }
+
+    private fun hashOf(item: StoredObject): Long {
+        val name = HASHER.hashCharsToLong(item.key.name)
+        return HASHER.hashLongLongToLong(name, item.version.value)
+    }
+
+    private fun bucketOf(
+        name: String,
+        count: Int,
+    ): Int = (HASHER.hashCharsToLong(name) and (count - 1).toLong()).toInt()
+
+    internal companion object {
+        private val HASHER = Hashing.wyhashFinal4()
+
+        /** With about eight objects in a bucket, one differing object costs at most as much as eight. */
+        private const val OBJECTS_PER_BUCKET = 8
+
+        /** Limits the digest of one kind to about 10 KB. */
+        private const val MOST_BUCKETS = 1024
+
+        fun bucketCount(objects: Int): Int =
+            Integer
+                .highestOneBit(maxOf(1, objects / OBJECTS_PER_BUCKET))
+                .coerceAtMost(MOST_BUCKETS)
+
+        fun validBuckets(count: Int): Boolean = count in 1..MOST_BUCKETS && Integer.bitCount(count) == 1
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/StoredObject.kt
@@ -0,0 +1,26 @@
+package oriolespindle.core.config
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One version of an object.
+ *
+ * [value] is JSON text, or null for a tombstone: the object is known to be deleted at [version].
+ */
+@Serializable
+public data class StoredObject(
+    public val key: ObjectKey,
+    public val version: Revision,
+    public val value: String?,
+) {
+    /** Whether this version says that the object is deleted. */
+    public val deleted: Boolean get() = value == null
+
+    public companion object {
+        /** Returns the tombstone of [key] at [version]. */
+        public fun tombstone(
+            key: ObjectKey,
+            version: Revision,
+        ): StoredObject = StoredObject(key, version, null)
+    }
+}
