--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -0,0 +1,86 @@
+package oriolespindle.router
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import oriolespindle.router.administration.AdministrationApi
+import oriolespindle.router.endpoint.LoadPoller
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.HttpClient
+import oriolespindle.router.http.HttpServer
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.platform.PlatformInstance
+import oriolespindle.router.request.ModelRoutes
+import oriolespindle.router.request.RequestComponent
+import oriolespindle.router.request.RequestContext
+import oriolespindle.router.request.RequestMessage
+import oriolespindle.router.runtime.TimerService
+import oriolespindle.router.settings.Settings
+import oriolespindle.router.state.StateComponent
+import java.util.concurrent.Executors
+import java.util.random.RandomGenerator
+
+/** One instance of the router: its listeners, components and their connections. */
+internal class Router(
+    private val settings: Settings,
+) {
+    private val group = MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory())
+    private val metrics = Metrics()
+    private val timers = TimerService()
+    private val http = HttpClient(group)
+    private val platform = PlatformClient(http, settings.platform, settings.platformTimeout, metrics::platformCall)
+    private val planning = Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }
+    private val requests = RequestComponent(metrics, ::requestContext, ::modelRoutes)
+    private val poller =
+        LoadPoller(http, settings.loadPollInterval * POLL_TIMEOUT_FACTOR) { endpoint, answer ->
+            requests.load(RequestMessage.Load(endpoint, answer))
+        }
+    private val state = StateComponent(platform, timers, self(), metrics, requests::changed)
+    private val callers = HttpServer(group, handler = requests::arrived)
+    private val administration = HttpServer(group, handler = AdministrationApi(metrics, ::isReady)::handle)
+
+    fun start() {
+        requests.start()
+        state.start()
+        val callerAddress = callers.bind(settings.callers)
+        val administrationAddress = administration.bind(settings.administration)
+        EventLog.info(
+            "instance started",
+            "instance" to settings.instance,
+            "zone" to settings.zone,
+            "callers" to callerAddress,
+            "administration" to administrationAddress,
+        )
+        timers.every(settings.loadPollInterval) { requests.pollLoads(poller) }
+        timers.every(settings.loadPollInterval) { http.closeExpired() }
+    }
+
+    private fun isReady(): Boolean = state.revision > 0
+
+    private fun self(): PlatformInstance =
+        PlatformInstance(
+            id = settings.instance.value,
+            zone = settings.zone.value,
+            address = settings.peers.toString(),
+            kind = "router",
+            state = "live",
+        )
+
+    private fun requestContext(offer: (RequestMessage) -> Boolean): RequestContext =
+        RequestContext(settings.instance, settings.zone, http, platform, metrics, timers, offer)
+
+    private fun modelRoutes(context: RequestContext): ModelRoutes =
+        ModelRoutes(
+            instance = settings.instance,
+            random = RandomGenerator.of("L64X128MixRandom"),
+            planning = planning,
+            post = context::continueWith,
+            onPlanned = {},
+        )
+
+    private companion object {
+        const val EVENT_LOOPS = 4
+        const val POLL_TIMEOUT_FACTOR = 4
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ConnectionPool.kt
@@ -0,0 +1,57 @@
+package oriolespindle.router.http
+
+import io.netty.channel.Channel
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.time.Duration
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** Keeps idle connections by address; the most recently used is taken first so that the others can age out. */
+internal class ConnectionPool(
+    private val maxIdle: Duration,
+    private val maxIdlePerAddress: Int,
+) {
+    private class Idle(
+        val channel: Channel,
+        val since: TimeMark,
+    )
+
+    private val idle = ConcurrentHashMap<Address, ConcurrentLinkedDeque<Idle>>()
+
+    fun take(address: Address): Channel? {
+        val connections = idle[address] ?: return null
+        while (true) {
+            val entry = connections.pollFirst() ?: return null
+            if (entry.channel.isActive && entry.since.elapsedNow() < maxIdle) return entry.channel
+            entry.channel.close()
+        }
+    }
+
+    fun put(
+        address: Address,
+        channel: Channel,
+    ) {
+        val connections = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        if (connections.size >= maxIdlePerAddress) {
+            channel.close()
+        } else {
+            connections.addFirst(Idle(channel, TimeSource.Monotonic.markNow()))
+        }
+    }
+
+    fun closeExpired() {
+        idle.values.forEach { connections ->
+            connections.removeIf { entry ->
+                val expired = !entry.channel.isActive || entry.since.elapsedNow() >= maxIdle
+                if (expired) entry.channel.close()
+                expired
+            }
+        }
+        idle.entries.removeIf { it.value.isEmpty() }
+    }
+
+    fun closeAll(address: Address) {
+        idle.remove(address)?.forEach { it.channel.close() }
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -0,0 +1,129 @@
+package oriolespindle.router.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import oriolespindle.router.runtime.monotonicNow
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+internal data class HttpClientSettings(
+    val connectTimeout: Duration = 1.seconds,
+    val maxIdle: Duration = 20.seconds,
+    val maxIdlePerAddress: Int = 32,
+)
+
+/** Sends HTTP/1.1 requests over pooled connections, one request at a time on each connection. */
+internal class HttpClient(
+    private val group: EventLoopGroup,
+    private val settings: HttpClientSettings = HttpClientSettings(),
+) {
+    private val pool = ConnectionPool(settings.maxIdle, settings.maxIdlePerAddress)
+
+    /** Sends [request]; [listener] receives what follows. A null [timeout] leaves the response without a time limit. */
+    fun send(
+        request: ClientRequest,
+        timeout: Duration? = null,
+        listener: ClientListener,
+    ): ClientCall {
+        val call = ClientCall(listener)
+        val pooled = if (request.freshConnection) null else pool.take(request.address)
+        if (pooled != null) {
+            pooled.eventLoop().execute { begin(call, request, pooled) }
+        } else {
+            connect(request.address).addListener(
+                ChannelFutureListener { future -> connected(call, request, future) },
+            )
+        }
+        timeout?.let { limit ->
+            group.next().schedule({ call.fail(FailureKind.TIMEOUT) }, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+        return call
+    }
+
+    /** Closes idle pooled connections that are older than the maximum idle time. */
+    fun closeExpired() {
+        pool.closeExpired()
+    }
+
+    /** Closes the idle pooled connections to [address], since one of its connections was found silent. */
+    fun closeIdle(address: Address) {
+        pool.closeAll(address)
+    }
+
+    private fun connect(address: Address): ChannelFuture =
+        Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.inWholeMilliseconds.toInt())
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(HttpClientCodec(), ClientCallHandler(address, pool))
+                    }
+                },
+            ).connect(address.toSocketAddress())
+
+    private fun connected(
+        call: ClientCall,
+        request: ClientRequest,
+        future: ChannelFuture,
+    ) {
+        if (future.isSuccess) {
+            begin(call, request, future.channel())
+        } else {
+            call.fail(FailureKind.CONNECT_FAILED)
+        }
+    }
+
+    private fun begin(
+        call: ClientCall,
+        request: ClientRequest,
+        channel: Channel,
+    ) {
+        if (!channel.isActive) {
+            // The server closed the pooled connection before anything was written to it.
+            connect(request.address).addListener(
+                ChannelFutureListener { future -> connected(call, request, future) },
+            )
+            return
+        }
+        if (request.notAfter != null && monotonicNow() > request.notAfter) {
+            channel.close()
+            call.fail(FailureKind.EXPIRED)
+            return
+        }
+        if (!call.attach(channel)) {
+            channel.close()
+            return
+        }
+        channel.pipeline().get(ClientCallHandler::class.java).current = call
+        channel.writeAndFlush(encode(request))
+    }
+
+    private fun encode(request: ClientRequest): DefaultFullHttpRequest {
+        val body = Unpooled.wrappedBuffer(request.body)
+        val message =
+            DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.uri, body)
+        message.headers().set(HttpHeaderNames.HOST, request.address.toString())
+        if (request.body.isNotEmpty()) message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType)
+        request.headers.forEach { (name, value) -> message.headers().set(name, value) }
+        HttpUtil.setContentLength(message, request.body.size.toLong())
+        return message
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -0,0 +1,104 @@
+package oriolespindle.router.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.ssl.SslContext
+import io.netty.util.concurrent.GlobalEventExecutor
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Limits of one listener; they protect the process before a request is known to belong to a team. */
+internal data class HttpServerSettings(
+    val maxBodyBytes: Int = 1_048_576,
+    val maxHeaderBytes: Int = 16_384,
+    val maxConnections: Int = 4_096,
+    val requestTimeout: Duration = 10.seconds,
+    val idleTimeout: Duration = 75.seconds,
+)
+
+/** An HTTP/1.1 listener that hands each complete request to [handler] on an event loop thread. */
+internal class HttpServer(
+    private val group: EventLoopGroup,
+    private val settings: HttpServerSettings = HttpServerSettings(),
+    private val tls: SslContext? = null,
+    private val handler: (ServerExchange) -> Unit,
+) {
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private var listener: Channel? = null
+
+    /** Set once the instance shuts down, so that answers ask callers to close their connections. */
+    @Volatile
+    var closing: Boolean = false
+        private set
+
+    val connectionCount: Int get() = connections.size
+
+    /** Binds to [address] and returns the address in use, with the port that the system chose for port 0. */
+    fun bind(address: Address): Address {
+        val channel =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_MARK, HIGH_MARK))
+                .childHandler(Initializer())
+                .bind(address.toSocketAddress())
+                .sync()
+                .channel()
+        listener = channel
+        val bound = channel.localAddress() as java.net.InetSocketAddress
+        return Address(address.host, bound.port)
+    }
+
+    /** Closes idle connections and makes each busy connection close after its answer. */
+    fun closeIdleConnections() {
+        closing = true
+        connections.forEach { it.pipeline().fireUserEventTriggered(CloseWhenIdle) }
+    }
+
+    /** Stops accepting connections. */
+    fun stopAccepting() {
+        listener?.close()?.syncUninterruptibly()
+    }
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            if (connections.size >= settings.maxConnections) {
+                channel.close()
+                return
+            }
+            connections.add(channel)
+            val config =
+                HttpDecoderConfig()
+                    .setMaxHeaderSize(settings.maxHeaderBytes)
+                    .setMaxInitialLineLength(MAX_INITIAL_LINE)
+            tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
+            channel.pipeline().addLast(
+                RequestTimeoutHandler(settings.requestTimeout, settings.idleTimeout),
+                HttpServerCodec(config),
+                RequestAssembler(settings.maxBodyBytes),
+                ServerExchangeHandler({ closing }, handler),
+            )
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 1024
+        const val LOW_MARK = 16 * 1024
+        const val HIGH_MARK = 64 * 1024
+        const val MAX_INITIAL_LINE = 8 * 1024
+    }
+}
+
+/** Asks a connection to close as soon as it has no request in progress. */
+internal data object CloseWhenIdle
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
@@ -0,0 +1,127 @@
+package oriolespindle.router.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.io.ByteArrayOutputStream
+
+/** A request whose body has arrived whole. */
+internal class AssembledRequest(
+    val head: HttpRequest,
+    val body: ByteArray,
+)
+
+/**
+ * Collects the body of each request up to [maxBodyBytes].
+ *
+ * A malformed request, or one whose framing two parties could read differently, is answered and its connection closed,
+ * so that no later bytes of that connection are taken for a request.
+ */
+internal class RequestAssembler(
+    private val maxBodyBytes: Int,
+) : ChannelInboundHandlerAdapter() {
+    private var head: HttpRequest? = null
+    private val body = ByteArrayOutputStream()
+    private var rejected = false
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (!rejected && message is HttpObject) accept(ctx, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun accept(
+        ctx: ChannelHandlerContext,
+        message: HttpObject,
+    ) {
+        if (message.decoderResult().isFailure) {
+            reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request is not valid HTTP/1.1")
+            return
+        }
+        if (message is HttpRequest) begin(ctx, message)
+        if (message is HttpContent && !rejected) append(ctx, message)
+        if (message is LastHttpContent && !rejected) complete(ctx)
+    }
+
+    private fun begin(
+        ctx: ChannelHandlerContext,
+        request: HttpRequest,
+    ) {
+        val lengths = request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH)
+        val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        val ambiguous = lengths.size > 1 || encodings.size > 1 || (lengths.isNotEmpty() && encodings.isNotEmpty())
+        val unsupported = encodings.any { !it.equals("chunked", ignoreCase = true) }
+        val length = HttpUtil.getContentLength(request, 0L)
+        if (ambiguous || unsupported) {
+            reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request's framing is ambiguous")
+        } else if (length > maxBodyBytes) {
+            rejectSize(ctx)
+        } else {
+            head = request
+            body.reset()
+            if (HttpUtil.is100ContinueExpected(request)) ctx.writeAndFlush(continueResponse())
+        }
+    }
+
+    private fun append(
+        ctx: ChannelHandlerContext,
+        content: HttpContent,
+    ) {
+        val bytes = content.content()
+        if (body.size() + bytes.readableBytes() > maxBodyBytes) {
+            rejectSize(ctx)
+            return
+        }
+        bytes.readBytes(body, bytes.readableBytes())
+    }
+
+    private fun complete(ctx: ChannelHandlerContext) {
+        val request = checkNotNull(head) { "the end of a body arrived without a request" }
+        head = null
+        ctx.fireChannelRead(AssembledRequest(request, body.toByteArray()))
+        body.reset()
+    }
+
+    private fun rejectSize(ctx: ChannelHandlerContext) {
+        val message = "the body is larger than $maxBodyBytes bytes"
+        reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", message)
+    }
+
+    private fun reject(
+        ctx: ChannelHandlerContext,
+        status: HttpResponseStatus,
+        reason: String,
+        message: String,
+    ) {
+        rejected = true
+        body.reset()
+        val text = """{"error":{"outcome":"not_run","reason":"$reason","message":"$message"}}"""
+        val response =
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text, Charsets.UTF_8))
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        response.headers().set("Oriolespindle-Outcome", "not_run")
+        response.headers().set(HttpHeaderNames.CONNECTION, "close")
+        HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun continueResponse(): FullHttpResponse =
+        DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -0,0 +1,209 @@
+package oriolespindle.router.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** A complete answer. */
+internal class HttpAnswer(
+    val status: Int,
+    val body: ByteArray = ByteArray(0),
+    val contentType: String = "application/json",
+    val headers: List<Pair<String, String>> = emptyList(),
+) {
+    companion object {
+        fun json(
+            status: Int,
+            text: String,
+            headers: List<Pair<String, String>> = emptyList(),
+        ): HttpAnswer = HttpAnswer(status, text.toByteArray(), headers = headers)
+    }
+}
+
+/** One request and the means to answer it; the answering functions may be called by any thread. */
+internal class ServerExchange(
+    private val ctx: ChannelHandlerContext,
+    request: AssembledRequest,
+    private val closing: () -> Boolean,
+    private val onEnd: () -> Unit,
+) {
+    private val head = request.head
+    private val keepAlive = HttpUtil.isKeepAlive(head)
+    private val ended = AtomicBoolean(false)
+
+    val method: String = head.method().name()
+    val uri: String = head.uri()
+    val path: String = uri.substringBefore('?')
+    val query: String = uri.substringAfter('?', missingDelimiterValue = "")
+    val body: ByteArray = request.body
+
+    /** Called on an event loop thread when the connection closed before the answer was complete. */
+    @Volatile
+    var onClosed: () -> Unit = {}
+
+    /** Called on an event loop thread when the connection's write buffer fills or drains. */
+    @Volatile
+    var onWritable: (Boolean) -> Unit = {}
+
+    val isWritable: Boolean get() = ctx.channel().isWritable
+
+    fun header(name: String): String? = head.headers().get(name)
+
+    fun headerNames(): Set<String> = head.headers().names()
+
+    fun headers(name: String): List<String> = head.headers().getAll(name)
+
+    /** Sends a whole answer; later calls are ignored. */
+    fun respond(answer: HttpAnswer) {
+        if (!ended.compareAndSet(false, true)) return
+        val response =
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status),
+                Unpooled.wrappedBuffer(answer.body),
+            )
+        HttpUtil.setContentLength(response, answer.body.size.toLong())
+        if (answer.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+        answer.headers.forEach { (name, value) -> response.headers().add(name, value) }
+        finish(response)
+    }
+
+    /** Starts an answer whose body is sent in chunks. */
+    fun beginStream(
+        status: Int,
+        contentType: String,
+        headers: List<Pair<String, String>> = emptyList(),
+    ) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        HttpUtil.setTransferEncodingChunked(response, true)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        headers.forEach { (name, value) -> response.headers().add(name, value) }
+        markConnection(response)
+        ctx.writeAndFlush(response)
+    }
+
+    fun writeChunk(bytes: ByteArray) {
+        if (!ended.get()) ctx.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+    }
+
+    fun endStream() {
+        if (ended.compareAndSet(false, true)) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    /** Closes the connection without completing the answer. */
+    fun abort() {
+        if (ended.compareAndSet(false, true)) ctx.close()
+    }
+
+    internal fun connectionClosed() {
+        if (ended.compareAndSet(false, true)) onClosed()
+    }
+
+    private fun finish(last: Any) {
+        if (last is HttpResponse) markConnection(last)
+        val close = !keepAlive || closing()
+        val future = ctx.writeAndFlush(last)
+        if (close) {
+            future.addListener(ChannelFutureListener.CLOSE)
+        } else {
+            future.addListener { ctx.executor().execute(onEnd) }
+        }
+    }
+
+    private fun markConnection(response: HttpResponse) {
+        if (!keepAlive || closing()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+}
+
+/** Runs the requests of one connection one after the other. */
+internal class ServerExchangeHandler(
+    private val closing: () -> Boolean,
+    private val handler: (ServerExchange) -> Unit,
+) : ChannelInboundHandlerAdapter() {
+    private var current: ServerExchange? = null
+    private var next: AssembledRequest? = null
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        message: Any,
+    ) {
+        val request = message as AssembledRequest
+        if (current == null) {
+            begin(ctx, request)
+        } else if (next == null) {
+            next = request
+        } else {
+            // More than one pipelined request would let one connection hold unbounded memory.
+            ctx.close()
+        }
+    }
+
+    private fun begin(
+        ctx: ChannelHandlerContext,
+        request: AssembledRequest,
+    ) {
+        ctx.pipeline().get(RequestTimeoutHandler::class.java).requestReceived()
+        val exchange = ServerExchange(ctx, request, closing) { ended(ctx) }
+        current = exchange
+        handler(exchange)
+    }
+
+    private fun ended(ctx: ChannelHandlerContext) {
+        current = null
+        val request = next
+        next = null
+        if (request != null) {
+            begin(ctx, request)
+        } else if (closing()) {
+            ctx.close()
+        } else {
+            idle(ctx)
+        }
+    }
+
+    private fun idle(ctx: ChannelHandlerContext) {
+        val pipeline = ctx.pipeline()
+        pipeline.context(RequestTimeoutHandler::class.java)?.let { timeoutContext ->
+            pipeline.get(RequestTimeoutHandler::class.java).connectionIdle(timeoutContext)
+        }
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        current?.onWritable?.invoke(ctx.channel().isWritable)
+        ctx.fireChannelWritabilityChanged()
+    }
+
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is CloseWhenIdle && current == null) ctx.close()
+        ctx.fireUserEventTriggered(event)
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        current?.connectionClosed()
+        current = null
+        ctx.fireChannelInactive()
+    }
+
+    @Deprecated("Netty marks exceptionCaught as deprecated for outbound handlers only")
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        ctx.close()
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
@@ -0,0 +1,169 @@
+package oriolespindle.router.platform
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.HttpClient
+import java.io.ByteArrayOutputStream
+import java.net.URLEncoder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Calls the platform's object API; results arrive on an event loop thread. [onCall] counts each call by operation. */
+internal class PlatformClient(
+    private val http: HttpClient,
+    private val address: Address,
+    private val timeout: Duration = 2.seconds,
+    private val onCall: (operation: String) -> Unit = {},
+) {
+    fun get(
+        kind: String,
+        name: String,
+        result: (PlatformResult<PlatformObject>) -> Unit,
+    ) {
+        onCall("get")
+        val request = ClientRequest(address, "GET", objectUri(kind, name))
+        call(request, PlatformObject.serializer(), result)
+    }
+
+    /** Creates the object when [expectedVersion] is null, otherwise replaces exactly that version. */
+    fun put(
+        kind: String,
+        name: String,
+        value: JsonElement,
+        expectedVersion: Long?,
+        result: (PlatformResult<PlatformObject>) -> Unit,
+    ) {
+        onCall("put")
+        val condition =
+            if (expectedVersion == null) "If-None-Match" to "*" else "If-Match" to expectedVersion.toString()
+        val body = value.toString().toByteArray()
+        val request =
+            ClientRequest(
+                address = address,
+                method = "PUT",
+                uri = objectUri(kind, name),
+                body = body,
+                headers = listOf(condition),
+            )
+        call(request, PlatformObject.serializer(), result)
+    }
+
+    fun delete(
+        kind: String,
+        name: String,
+        expectedVersion: Long,
+        result: (PlatformResult<PlatformObject>) -> Unit,
+    ) {
+        onCall("delete")
+        val headers = listOf("If-Match" to expectedVersion.toString())
+        val request = ClientRequest(address, "DELETE", objectUri(kind, name), headers = headers)
+        call(request, PlatformObject.serializer(), result)
+    }
+
+    fun list(
+        kinds: List<String>,
+        result: (PlatformResult<PlatformList>) -> Unit,
+    ) {
+        onCall("list")
+        val request = ClientRequest(address, "GET", "/v1/objects?kinds=${kinds.joinToString(",")}")
+        call(request, PlatformList.serializer(), result)
+    }
+
+    fun instances(result: (PlatformResult<PlatformInstanceList>) -> Unit) {
+        onCall("instances")
+        call(ClientRequest(address, "GET", "/v1/instances"), PlatformInstanceList.serializer(), result)
+    }
+
+    fun register(
+        instance: PlatformInstance,
+        result: (Boolean) -> Unit,
+    ) {
+        onCall("register")
+        val body = json.encodeToString(PlatformInstance.serializer(), instance).toByteArray()
+        val request = ClientRequest(address, "PUT", "/v1/instances/${encode(instance.id)}", body = body)
+        send(request) { status, _ -> result(status in SUCCESS) }
+    }
+
+    /** Opens a watch of [kinds] after revision [from]; [onLine] receives null when the watch has ended. */
+    fun watch(
+        kinds: List<String>,
+        from: Long,
+        onLine: (WatchLine?) -> Unit,
+    ): Watch {
+        onCall("watch")
+        val uri = "/v1/watch?kinds=${kinds.joinToString(",")}&from=$from"
+        val request = ClientRequest(address, "GET", uri, freshConnection = true)
+        return Watch(http, request, onLine).also { it.start() }
+    }
+
+    private fun <T> call(
+        request: ClientRequest,
+        serializer: KSerializer<T>,
+        result: (PlatformResult<T>) -> Unit,
+    ) {
+        send(request) { status, body -> result(interpret(request, status, body, serializer)) }
+    }
+
+    private fun <T> interpret(
+        request: ClientRequest,
+        status: Int?,
+        body: ByteArray,
+        serializer: KSerializer<T>,
+    ): PlatformResult<T> =
+        when (status) {
+            in SUCCESS -> decode(serializer, body)?.let { PlatformResult.Ok(it) } ?: PlatformResult.Unavailable(true)
+            NOT_FOUND -> PlatformResult.NotFound
+            PRECONDITION_FAILED -> PlatformResult.Conflict(decode(PlatformObject.serializer(), body))
+            NOT_SENT -> PlatformResult.Unavailable(maybeApplied = false)
+            else -> PlatformResult.Unavailable(maybeApplied = request.method != "GET")
+        }
+
+    private fun send(
+        request: ClientRequest,
+        result: (status: Int?, body: ByteArray) -> Unit,
+    ) {
+        val body = ByteArrayOutputStream()
+        var status: Int? = null
+        http.send(request, timeout) { event ->
+            when (event) {
+                is ClientEvent.Head -> status = event.status
+                is ClientEvent.Data -> body.writeBytes(event.bytes)
+                is ClientEvent.End -> result(status, body.toByteArray())
+                is ClientEvent.Failed -> result(if (event.sent) null else NOT_SENT, ByteArray(0))
+            }
+            true
+        }
+    }
+
+    private fun <T> decode(
+        serializer: KSerializer<T>,
+        body: ByteArray,
+    ): T? =
+        try {
+            json.decodeFromString(serializer, body.decodeToString())
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private fun objectUri(
+        kind: String,
+        name: String,
+    ): String = "/v1/objects/${encode(kind)}/${encode(name)}"
+
+    private fun encode(segment: String): String = URLEncoder.encode(segment, Charsets.UTF_8).replace("+", "%20")
+
+    internal companion object {
+        val json: Json = Json { ignoreUnknownKeys = true }
+        private val SUCCESS = 200..299
+        private const val NOT_FOUND = 404
+        private const val PRECONDITION_FAILED = 412
+
+        /** Stands for a call of which no byte was sent. */
+        private const val NOT_SENT = -1
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformObject.kt
@@ -0,0 +1,61 @@
+package oriolespindle.router.platform
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+
+/** An object as the platform's API returns it. */
+@Serializable
+internal data class PlatformObject(
+    val kind: String,
+    val name: String,
+    val version: Long,
+    val value: JsonElement,
+)
+
+@Serializable
+internal data class PlatformList(
+    val revision: Long,
+    val items: List<PlatformObject>,
+)
+
+/** One line of a watch; [type] is `put`, `delete` or `idle`. */
+@Serializable
+internal data class WatchLine(
+    val type: String,
+    val revision: Long,
+    val `object`: PlatformObject? = null,
+)
+
+@Serializable
+internal data class PlatformInstance(
+    val id: String,
+    val zone: String,
+    val address: String,
+    val kind: String,
+    val state: String,
+)
+
+@Serializable
+internal data class PlatformInstanceList(
+    val version: Long,
+    val instances: List<PlatformInstance>,
+)
+
+/** The result of one platform call. */
+internal sealed interface PlatformResult<out T> {
+    data class Ok<T>(
+        val value: T,
+    ) : PlatformResult<T>
+
+    data object NotFound : PlatformResult<Nothing>
+
+    /** A conditional write found another version; [current] is null when the object does not exist. */
+    data class Conflict(
+        val current: PlatformObject?,
+    ) : PlatformResult<Nothing>
+
+    /** No usable answer. When [maybeApplied] is true, a write may have taken effect all the same. */
+    data class Unavailable(
+        val maybeApplied: Boolean,
+    ) : PlatformResult<Nothing>
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/Watch.kt
@@ -0,0 +1,57 @@
+package oriolespindle.router.platform
+
+import kotlinx.serialization.SerializationException
+import oriolespindle.router.http.ClientCall
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.HttpClient
+import oriolespindle.router.http.LineSplitter
+
+/** An open watch of the platform's objects. */
+internal class Watch(
+    private val http: HttpClient,
+    private val request: ClientRequest,
+    private val onLine: (WatchLine?) -> Unit,
+) {
+    private val lines = LineSplitter()
+    private var call: ClientCall? = null
+    private var accepted = false
+
+    fun start() {
+        call = http.send(request, timeout = null, listener = ::handle)
+    }
+
+    fun close() {
+        call?.cancel()
+    }
+
+    private fun handle(event: ClientEvent): Boolean {
+        when (event) {
+            is ClientEvent.Head -> accepted = event.status == STATUS_OK
+            is ClientEvent.Data -> if (accepted) feed(event.bytes)
+            is ClientEvent.End, is ClientEvent.Failed -> onLine(null)
+        }
+        return true
+    }
+
+    private fun feed(bytes: ByteArray) {
+        val complete = lines.feed(bytes)
+        val decoded = complete?.map(::decode)
+        if (decoded == null || decoded.any { it == null }) {
+            close()
+            return
+        }
+        decoded.filterNotNull().forEach(onLine)
+    }
+
+    private fun decode(line: String): WatchLine? =
+        try {
+            PlatformClient.json.decodeFromString(WatchLine.serializer(), line)
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private companion object {
+        const val STATUS_OK = 200
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CallerApi.kt
@@ -0,0 +1,101 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.contract.Contract
+import oriolespindle.core.contract.KeyDigest
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.http.ServerExchange
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A request whose team is known. */
+internal class CallerRequest(
+    val id: RequestId,
+    val exchange: ServerExchange,
+    val contract: Contract,
+    val arrived: Timestamp,
+    val deadline: Timestamp,
+)
+
+/** Finds the team of each request and passes it on by its path. */
+internal class CallerApi(
+    private val context: RequestContext,
+    private val completions: (CallerRequest) -> Unit,
+    private val services: (CallerRequest) -> Unit,
+) {
+    fun handle(exchange: ServerExchange) {
+        val id = context.nextRequestId()
+        val contract = authenticate(exchange)
+        if (contract == null) {
+            refuse(id, exchange, RefusalReason.UNKNOWN_CREDENTIAL, "the request has no valid bearer key")
+            return
+        }
+        if (exchange.body.size > contract.maximumBodyBytes) {
+            val message = "the body has ${exchange.body.size} bytes, the contract allows ${contract.maximumBodyBytes}"
+            refuse(id, exchange, RefusalReason.BODY_TOO_LARGE, message)
+            return
+        }
+        val limit = deadline(exchange, contract)
+        if (limit == null) {
+            val message = "$DEADLINE_HEADER must be a number of milliseconds from 1"
+            refuse(id, exchange, RefusalReason.MALFORMED_REQUEST, message)
+            return
+        }
+        val now = context.now()
+        route(CallerRequest(id, exchange, contract, now, now + limit))
+    }
+
+    private fun route(request: CallerRequest) {
+        val exchange = request.exchange
+        val isCompletion = exchange.path == COMPLETIONS_PATH
+        when {
+            isCompletion && exchange.method == "POST" -> {
+                completions(request)
+            }
+
+            exchange.path.startsWith(SERVICES_PREFIX) -> {
+                services(request)
+            }
+
+            else -> {
+                val message = "${exchange.method} ${exchange.path} is not part of this interface"
+                refuse(request.id, exchange, RefusalReason.MALFORMED_REQUEST, message)
+            }
+        }
+    }
+
+    private fun authenticate(exchange: ServerExchange): Contract? {
+        val header = exchange.header("Authorization") ?: return null
+        if (!header.startsWith(BEARER, ignoreCase = true)) return null
+        // The digest is looked up and not the key, so the time of the lookup tells nothing about stored keys.
+        return context.contracts.contract(KeyDigest.of(header.substring(BEARER.length).trim()))
+    }
+
+    private fun deadline(
+        exchange: ServerExchange,
+        contract: Contract,
+    ): Duration? {
+        val header = exchange.header(DEADLINE_HEADER) ?: return contract.defaultDeadline
+        val millis = header.toLongOrNull()?.takeIf { it > 0 } ?: return null
+        return millis.milliseconds.coerceAtMost(contract.maximumDeadline)
+    }
+
+    private fun refuse(
+        id: RequestId,
+        exchange: ServerExchange,
+        reason: RefusalReason,
+        message: String,
+    ) {
+        context.metrics.refused(reason)
+        exchange.respond(Answers.notRun(id, CallOutcome.NotRun(reason, message)))
+    }
+
+    private companion object {
+        const val COMPLETIONS_PATH = "/v1/completions"
+        const val SERVICES_PREFIX = "/services/"
+        const val DEADLINE_HEADER = "Oriolespindle-Deadline-Ms"
+        const val BEARER = "Bearer "
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionResponder.kt
@@ -0,0 +1,107 @@
+package oriolespindle.router.request
+
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.stream.StreamToken
+import oriolespindle.router.http.ClientCall
+import oriolespindle.router.http.HttpAnswer
+import oriolespindle.router.http.ServerExchange
+
+/** Sends the answer to one completion, as server-sent events or as one JSON object. */
+internal class CompletionResponder(
+    private val exchange: ServerExchange,
+    private val request: RequestId,
+    private val stream: Boolean,
+) {
+    private val collected = ArrayList<StreamToken>()
+    private var begun = false
+
+    @Volatile
+    private var source: ClientCall? = null
+
+    init {
+        exchange.onWritable = { writable -> if (writable) source?.resumeReading() else source?.pauseReading() }
+    }
+
+    /** Names the call that feeds this answer, so that a caller that reads slowly slows it down. */
+    fun fedBy(call: ClientCall) {
+        source = call
+        if (!exchange.isWritable) call.pauseReading()
+        if (exchange.isWritable) call.resumeReading()
+    }
+
+    fun tokens(tokens: List<StreamToken>) {
+        if (!stream) {
+            collected.addAll(tokens)
+            return
+        }
+        begin()
+        val text = StringBuilder()
+        for (token in tokens) text.append(event(tokenBody(token)))
+        exchange.writeChunk(text.toString().toByteArray())
+    }
+
+    fun complete(count: Int) {
+        if (!stream) {
+            exchange.respond(HttpAnswer.json(STATUS_OK, wholeBody(count), Answers.headers(request, "done")))
+            return
+        }
+        begin()
+        val finish =
+            Answers.encode(
+                buildJsonObject {
+                    put("finish", "length")
+                    put("tokens", count)
+                },
+            )
+        exchange.writeChunk((event(finish) + "data: [DONE]\n\n").toByteArray())
+        exchange.endStream()
+    }
+
+    fun fail(outcome: CallOutcome) {
+        if (begun) {
+            exchange.writeChunk(event(Answers.encode(Answers.errorBody(outcome))).toByteArray())
+            exchange.endStream()
+            return
+        }
+        when (outcome) {
+            is CallOutcome.NotRun -> exchange.respond(Answers.notRun(request, outcome))
+            is CallOutcome.Unknown -> exchange.respond(Answers.unknown(request, outcome))
+            is CallOutcome.Done -> error("a successful request has no error answer")
+        }
+    }
+
+    private fun begin() {
+        if (begun) return
+        begun = true
+        // The outcome of a stream is known only at its end, so its last event tells it and no header does.
+        exchange.beginStream(STATUS_OK, "text/event-stream", listOf(Answers.REQUEST_ID_HEADER to request.value))
+    }
+
+    private fun event(data: String): String = "data: $data\n\n"
+
+    private fun tokenBody(token: StreamToken): String =
+        Answers.encode(
+            buildJsonObject {
+                put("position", token.position)
+                put("token", token.text)
+            },
+        )
+
+    private fun wholeBody(count: Int): String =
+        Answers.encode(
+            buildJsonObject {
+                putJsonArray("tokens") { collected.forEach { add(it.text) } }
+                put("finish", "length")
+                put("count", count)
+            },
+        )
+
+    private companion object {
+        const val STATUS_OK = 200
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
@@ -0,0 +1,70 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.chain.ChainPlan
+import oriolespindle.core.chain.ChainPlanner
+import oriolespindle.core.chain.ChainSelector
+import oriolespindle.core.chain.ChainSelectorSettings
+import oriolespindle.core.chain.Topology
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ModelId
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
+import java.util.concurrent.Executor
+import java.util.random.RandomGenerator
+
+/**
+ * The chain selector of each model.
+ *
+ * Plans are computed on [planning], off the request path, and taken over by [post] on the request thread; a plan that a
+ * newer topology has replaced is dropped.
+ */
+internal class ModelRoutes(
+    private val instance: InstanceId,
+    private val random: RandomGenerator,
+    private val planning: Executor,
+    private val post: (() -> Unit) -> Unit,
+    private val onPlanned: (ModelId) -> Unit,
+) {
+    private val selectors = HashMap<ModelId, ChainSelector>()
+    private val generations = HashMap<ModelId, Int>()
+    private val plans = HashMap<ModelId, ChainPlan>()
+
+    fun selector(model: ModelId): ChainSelector? = selectors[model]
+
+    fun plan(model: ModelId): ChainPlan? = plans[model]
+
+    fun all(): Collection<ChainSelector> = selectors.values
+
+    fun replan(
+        now: () -> Timestamp,
+        topology: Topology,
+    ) {
+        val model = topology.model.id
+        val generation = (generations[model] ?: 0) + 1
+        generations[model] = generation
+        planning.execute {
+            val plan = ChainPlanner().plan(topology)
+            post { take(now(), model, generation, plan) }
+        }
+    }
+
+    fun remove(model: ModelId) {
+        generations[model] = (generations[model] ?: 0) + 1
+        selectors.remove(model)
+        plans.remove(model)
+    }
+
+    private fun take(
+        now: Timestamp,
+        model: ModelId,
+        generation: Int,
+        plan: ChainPlan,
+    ) {
+        if (generations[model] != generation) return
+        val selector = selectors.getOrPut(model) { ChainSelector(instance, ChainSelectorSettings(), random) }
+        selector.plan(now, plan)
+        plans[model] = plan
+        EventLog.info("model planned", "model" to model, "chains" to plan.chains.size, "bound" to plan.bound)
+        onPlanned(model)
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -0,0 +1,130 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.chain.LinkObservation
+import oriolespindle.core.chain.LoadReport
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.ModelId
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.router.endpoint.LoadPoller
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.ServerExchange
+import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.runtime.Component
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Handles callers' requests from arrival to answer, on one thread. */
+internal class RequestComponent(
+    private val metrics: Metrics,
+    createContext: (offer: (RequestMessage) -> Boolean) -> RequestContext,
+    createRoutes: (RequestContext) -> ModelRoutes,
+) {
+    private val component = Component("requests", RING_CAPACITY, ::handle)
+    private val context = createContext(component::offer)
+    private val routes = createRoutes(context)
+    private val sessions = HashMap<RequestId, CompletionSession>()
+    private val services = ServiceCalls(context, ServiceSender(context))
+    private val api = CallerApi(context, ::completion, services::handle)
+
+    fun start() {
+        component.start()
+        metrics.gauge("oriolespindle.ring.requests") { component.depth }
+    }
+
+    /** Takes a request from an event loop thread; with a full ring buffer it is refused at once. */
+    fun arrived(exchange: ServerExchange) {
+        if (component.offer(RequestMessage.Arrived(exchange))) return
+        metrics.refused(RefusalReason.OVERLOADED)
+        val outcome = CallOutcome.NotRun(RefusalReason.OVERLOADED, "this instance is overloaded", OVERLOAD_RETRY)
+        exchange.respond(Answers.notRun(null, outcome))
+    }
+
+    /** Takes changed objects; false means that they must be offered again. */
+    fun changed(items: List<StoredObject>): Boolean = component.offer(RequestMessage.Changed(items))
+
+    fun load(message: RequestMessage.Load) {
+        component.offer(message)
+    }
+
+    /** Asks each engine for its load; the directory is read on the component's own thread. */
+    fun pollLoads(poller: LoadPoller) {
+        component.offer(
+            RequestMessage.Continue {
+                context.directory.engines().forEach { poller.poll(it.id, Address.parse(it.address)) }
+            },
+        )
+    }
+
+    private fun handle(message: RequestMessage) {
+        when (message) {
+            is RequestMessage.Arrived -> api.handle(message.exchange)
+            is RequestMessage.CallerGone -> sessions[message.request]?.callerGone()
+            is RequestMessage.Engine -> sessions[message.request]?.engine(message.attempt, message.signal)
+            is RequestMessage.Continue -> message.resume()
+            is RequestMessage.Load -> report(message)
+            is RequestMessage.Changed -> apply(message.items)
+            is RequestMessage.Tick -> Unit
+        }
+    }
+
+    private fun completion(caller: CallerRequest) {
+        when (val parsed = CompletionParser.parse(caller.exchange.body, caller.contract)) {
+            is CompletionParse.Refused -> {
+                metrics.refused(parsed.outcome.reason)
+                caller.exchange.respond(Answers.notRun(caller.id, parsed.outcome))
+            }
+
+            is CompletionParse.Valid -> {
+                val session = CompletionSession(context, routes, caller, parsed.request) { sessions.remove(it.id) }
+                sessions[caller.id] = session
+                caller.exchange.onClosed = { context.post(RequestMessage.CallerGone(caller.id)) }
+                session.start()
+            }
+        }
+    }
+
+    private fun report(message: RequestMessage.Load) {
+        val now = context.now()
+        val model = context.directory.engine(message.endpoint)?.model ?: return
+        val selector = routes.selector(model) ?: return
+        val answer = message.answer
+        selector.report(
+            now,
+            LoadReport(message.endpoint, now, answer.active, answer.queued, answer.tokensPerSecond),
+        )
+        answer.linkMillis.forEach { (to, millis) ->
+            selector.link(now, LinkObservation(message.endpoint, EndpointId(to), millis.milliseconds))
+        }
+    }
+
+    private fun apply(items: List<StoredObject>) {
+        val models = HashSet<ModelId>()
+        for (item in items) {
+            if (item.key.kind == ObjectKind.CONTRACT) applyContract(item) else models += context.directory.apply(item)
+        }
+        for (model in models) {
+            val topology = context.directory.topology(model)
+            if (topology == null) routes.remove(model) else routes.replan(context::now, topology)
+        }
+    }
+
+    private fun applyContract(item: StoredObject) {
+        val team = TeamId(item.key.name)
+        val value = item.value
+        if (value == null) {
+            context.contracts.remove(team, item.version.value)
+        } else {
+            context.contracts.put(team, item.version.value, value)
+        }
+        if (context.contracts.faults().any { it.team == team }) metrics.malformedObject()
+    }
+
+    private companion object {
+        const val RING_CAPACITY = 16_384
+        val OVERLOAD_RETRY = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
@@ -0,0 +1,59 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.contract.ContractBook
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.directory.Directory
+import oriolespindle.router.http.HttpClient
+import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.runtime.TimerService
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What the parts of the request component share; only its thread uses the mutable parts. */
+internal class RequestContext(
+    val instance: InstanceId,
+    val zone: ZoneId,
+    val http: HttpClient,
+    val platform: PlatformClient,
+    val metrics: Metrics,
+    val timers: TimerService,
+    val offer: (RequestMessage) -> Boolean,
+) {
+    val directory: Directory = Directory()
+    val contracts: ContractBook = ContractBook()
+    private var requests = 0L
+
+    fun now(): Timestamp = monotonicNow()
+
+    fun nextRequestId(): RequestId {
+        requests++
+        return RequestId("${instance.value}-${requests.toString(ID_RADIX)}")
+    }
+
+    /** Runs [block] on the request component's thread, after a wait while its ring buffer is full. */
+    fun continueWith(block: () -> Unit) {
+        post(RequestMessage.Continue(block))
+    }
+
+    /** Runs [block] on the request component's thread after [delay]. */
+    fun continueAfter(
+        delay: Duration,
+        block: () -> Unit,
+    ) {
+        timers.after(delay) { continueWith(block) }
+    }
+
+    fun post(message: RequestMessage) {
+        if (!offer(message)) timers.after(RING_RETRY) { post(message) }
+    }
+
+    private companion object {
+        const val ID_RADIX = 36
+        val RING_RETRY = 2.milliseconds
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -0,0 +1,195 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.claim.ClaimCall
+import oriolespindle.core.claim.ClaimObject
+import oriolespindle.core.claim.ClaimOutcome
+import oriolespindle.core.claim.ClaimRequest
+import oriolespindle.core.claim.IdempotencyKey
+import oriolespindle.core.claim.KeyDecision
+import oriolespindle.core.claim.KeyRules
+import oriolespindle.core.claim.RequestDigest
+import oriolespindle.core.contract.Contract
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.outcome.UnknownReason
+import oriolespindle.router.http.HttpAnswer
+import kotlin.time.Clock
+import kotlin.time.Duration
+
+/** Calls to plain services. */
+internal class ServiceCalls(
+    private val context: RequestContext,
+    private val sender: ServiceSender,
+) {
+    fun handle(request: CallerRequest) {
+        val rest = request.exchange.uri.removePrefix("/services/")
+        val name = rest.substringBefore('?').substringBefore('/')
+        val uri = rest.removePrefix(name).ifEmpty { "/" }
+        val service = ServiceId(name)
+        val value = context.directory.service(service)
+        when {
+            service !in request.contract.services -> {
+                refuse(request, RefusalReason.SERVICE_NOT_ALLOWED, "the contract does not allow service '$name'")
+            }
+
+            value == null -> {
+                refuse(request, RefusalReason.UNKNOWN_SERVICE, "service '$name' does not exist")
+            }
+
+            request.exchange.method in value.nonIdempotentMethods -> {
+                nonIdempotent(request, service, uri)
+            }
+
+            else -> {
+                sendOnce(request, service, uri)
+            }
+        }
+    }
+
+    private fun nonIdempotent(
+        request: CallerRequest,
+        service: ServiceId,
+        uri: String,
+    ) {
+        val arrived = Clock.System.now()
+        when (val decision = rules(request.contract).check(request.exchange.header("Idempotency-Key"), arrived)) {
+            is KeyDecision.Refused -> {
+                context.metrics.refused(decision.outcome.reason)
+                request.exchange.respond(Answers.notRun(request.id, decision.outcome))
+            }
+
+            is KeyDecision.SendOnce -> {
+                sendOnce(request, service, uri)
+            }
+
+            is KeyDecision.Claim -> {
+                claim(request, service, uri, claimRequest(request, decision.key, service, uri, arrived))
+            }
+        }
+    }
+
+    private fun claimRequest(
+        request: CallerRequest,
+        key: IdempotencyKey,
+        service: ServiceId,
+        uri: String,
+        arrived: kotlin.time.Instant,
+    ): ClaimRequest =
+        ClaimRequest(
+            request = request.id,
+            key = key,
+            target = ClaimObject.of(request.contract.team, key),
+            digest = RequestDigest.of(service.value, request.exchange.method, uri, request.exchange.body),
+            arrived = arrived,
+            deadline = request.deadline,
+        )
+
+    private fun claim(
+        request: CallerRequest,
+        service: ServiceId,
+        uri: String,
+        claim: ClaimRequest,
+    ) {
+        ClaimedCall(
+            context = context,
+            sender = sender,
+            machine = ClaimCall(context.instance, claim),
+            call = ServiceCall.of(request, uri),
+            deadline = request.deadline,
+            servers = { context.directory.servers(service) },
+            answer = { outcome -> respond(request, outcome) },
+        ).start()
+    }
+
+    /** Sends a call that the caller may repeat, or that its contract lets go out once without a key. */
+    private fun sendOnce(
+        request: CallerRequest,
+        service: ServiceId,
+        uri: String,
+    ) {
+        val server = sender.candidates(context.directory.servers(service)).firstOrNull()
+        if (server == null) {
+            refuse(request, RefusalReason.NO_ENDPOINT, "service '${service.value}' has no endpoint")
+            return
+        }
+        val timeout = (request.deadline - context.now()).coerceAtLeast(Duration.ZERO)
+        sender.send(ServiceCall.of(request, uri), server, SendLimits(timeout, freshConnection = false)) { result ->
+            when (result) {
+                is ServiceResult.Answered -> answered(request, result)
+                is ServiceResult.NotRun -> refuse(request, RefusalReason.ENDPOINT_REFUSED, "the endpoint refused")
+                is ServiceResult.NotSent -> refuse(request, RefusalReason.NO_ENDPOINT, "no endpoint was reached")
+                is ServiceResult.Lost -> unknown(request, lost(result))
+            }
+        }
+    }
+
+    private fun lost(result: ServiceResult.Lost): CallOutcome.Unknown =
+        if (result.timedOut) {
+            CallOutcome.Unknown(UnknownReason.DEADLINE_PASSED, "no answer came by the deadline")
+        } else {
+            CallOutcome.Unknown(UnknownReason.ENDPOINT_LOST, "the endpoint's answer was lost")
+        }
+
+    private fun respond(
+        request: CallerRequest,
+        outcome: ClaimOutcome,
+    ) {
+        when (outcome) {
+            is ClaimOutcome.Answered -> {
+                val repeated = if (outcome.repeated) listOf("Oriolespindle-Repeated" to "true") else emptyList()
+                done(request, outcome.status, outcome.body ?: ByteArray(0), outcome.contentType, repeated)
+            }
+
+            is ClaimOutcome.NotRun -> {
+                context.metrics.refused(outcome.outcome.reason)
+                request.exchange.respond(Answers.notRun(request.id, outcome.outcome))
+            }
+
+            is ClaimOutcome.Unknown -> {
+                unknown(request, outcome.outcome, outcome.retryAfter)
+            }
+        }
+    }
+
+    private fun answered(
+        request: CallerRequest,
+        result: ServiceResult.Answered,
+    ) = done(request, result.status, result.body, result.contentType, emptyList())
+
+    private fun done(
+        request: CallerRequest,
+        status: Int,
+        body: ByteArray,
+        contentType: String?,
+        extra: List<Pair<String, String>>,
+    ) {
+        context.metrics.done()
+        val headers = Answers.headers(request.id, "done") + extra
+        request.exchange.respond(HttpAnswer(status, body, contentType ?: "application/octet-stream", headers))
+    }
+
+    private fun unknown(
+        request: CallerRequest,
+        outcome: CallOutcome.Unknown,
+        retryAfter: Duration? = null,
+    ) {
+        context.metrics.unknown(outcome.reason)
+        request.exchange.respond(Answers.unknown(request.id, outcome, retryAfter))
+    }
+
+    private fun refuse(
+        request: CallerRequest,
+        reason: RefusalReason,
+        message: String,
+    ) {
+        context.metrics.refused(reason)
+        request.exchange.respond(Answers.notRun(request.id, CallOutcome.NotRun(reason, message)))
+    }
+
+    private fun rules(contract: Contract): KeyRules =
+        KeyRules(
+            allowKeysWithoutTime = !contract.uuidV7KeysRequired,
+            allowCallsWithoutKey = contract.unkeyedCallsAllowed,
+        )
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
@@ -0,0 +1,149 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.directory.ServiceEndpoint
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.ServerExchange
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+
+/** The result of sending a call to one endpoint of a plain service. */
+internal sealed interface ServiceResult {
+    /** A complete answer. */
+    class Answered(
+        val status: Int,
+        val body: ByteArray,
+        val contentType: String?,
+    ) : ServiceResult
+
+    /** A complete answer that says that the call did not run. */
+    data class NotRun(
+        val retryAfterSeconds: Long?,
+    ) : ServiceResult
+
+    /** No byte of the call was sent. */
+    data object NotSent : ServiceResult
+
+    /** Bytes may have reached the endpoint, and no complete answer came. */
+    data class Lost(
+        val timedOut: Boolean,
+    ) : ServiceResult
+}
+
+/** What is sent to a plain service on behalf of a caller. */
+internal class ServiceCall(
+    val method: String,
+    val uri: String,
+    val body: ByteArray,
+    val contentType: String,
+    val headers: List<Pair<String, String>>,
+) {
+    companion object {
+        private val forwarded = listOf("Accept", "Idempotency-Key")
+
+        /** Copies what a service may see of the caller's request; credentials and hop-by-hop headers are left out. */
+        fun of(
+            request: CallerRequest,
+            uri: String,
+        ): ServiceCall {
+            val exchange: ServerExchange = request.exchange
+            val headers =
+                forwarded.mapNotNull { name -> exchange.header(name)?.let { name to it } } +
+                    (Answers.REQUEST_ID_HEADER to request.id.value) +
+                    ("Oriolespindle-Team" to request.contract.team.value)
+            val contentType = exchange.header("Content-Type") ?: "application/octet-stream"
+            return ServiceCall(exchange.method, uri, exchange.body, contentType, headers)
+        }
+    }
+}
+
+/** Sends calls to endpoints of plain services; results arrive on the request component's thread. */
+internal class ServiceSender(
+    private val context: RequestContext,
+) {
+    private val inFlight = HashMap<EndpointId, Int>()
+
+    /** Returns [servers] with the fewest calls of this instance first, those of its own zone preferred. */
+    fun candidates(servers: List<ServiceEndpoint>): List<ServiceEndpoint> =
+        servers.sortedWith(compareBy({ inFlight[it.id] ?: 0 }, { it.zone != context.zone }, { it.id }))
+
+    /** Sends [call] once; a non-idempotent call uses a new connection, which cannot be half closed already. */
+    fun send(
+        call: ServiceCall,
+        server: ServiceEndpoint,
+        limits: SendLimits,
+        result: (ServiceResult) -> Unit,
+    ) {
+        inFlight.merge(server.id, 1, Int::plus)
+        val answer = AnswerCollector()
+        val request =
+            ClientRequest(
+                address = server.address,
+                method = call.method,
+                uri = call.uri,
+                body = call.body,
+                contentType = call.contentType,
+                headers = call.headers,
+                freshConnection = limits.freshConnection,
+                notAfter = limits.notAfter,
+            )
+        context.http.send(request, limits.timeout) { event ->
+            val end = answer.handle(event)
+            if (end != null) context.continueWith { ended(server, end, result) }
+            true
+        }
+    }
+
+    private fun ended(
+        server: ServiceEndpoint,
+        end: ServiceResult,
+        result: (ServiceResult) -> Unit,
+    ) {
+        inFlight.merge(server.id, -1, Int::plus)
+        inFlight.remove(server.id, 0)
+        result(end)
+    }
+}
+
+/** When a call may be sent and how long its answer may take. */
+internal data class SendLimits(
+    val timeout: Duration,
+    val freshConnection: Boolean,
+    val notAfter: Timestamp? = null,
+)
+
+/** Collects the answer of an endpoint. */
+private class AnswerCollector {
+    private val body = ByteArrayOutputStream()
+    private var head: ClientEvent.Head? = null
+
+    fun handle(event: ClientEvent): ServiceResult? {
+        when (event) {
+            is ClientEvent.Head -> head = event
+            is ClientEvent.Data -> body.writeBytes(event.bytes)
+            is ClientEvent.End -> return complete(checkNotNull(head) { "an answer ended before its head" })
+            is ClientEvent.Failed -> return failed(event)
+        }
+        return null
+    }
+
+    private fun complete(head: ClientEvent.Head): ServiceResult {
+        val notRun = head.status == STATUS_UNAVAILABLE && head.headers[Answers.OUTCOME_HEADER] in NOT_RUN_VALUES
+        if (notRun) return ServiceResult.NotRun(head.headers["Retry-After"]?.toLongOrNull())
+        return ServiceResult.Answered(head.status, body.toByteArray(), head.headers["Content-Type"])
+    }
+
+    private fun failed(event: ClientEvent.Failed): ServiceResult =
+        if (event.sent) {
+            ServiceResult.Lost(event.kind == oriolespindle.router.http.FailureKind.TIMEOUT)
+        } else {
+            ServiceResult.NotSent
+        }
+
+    private companion object {
+        const val STATUS_UNAVAILABLE = 503
+        val NOT_RUN_VALUES = setOf("not-run", "not_run")
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/Component.kt
@@ -0,0 +1,78 @@
+package oriolespindle.router.runtime
+
+import org.jctools.queues.MpscArrayQueue
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.locks.LockSupport
+
+/**
+ * A thread that handles the messages of one bounded ring buffer, one at a time and in order.
+ *
+ * Any thread may offer messages. State that is touched only from [handle] needs no further synchronization.
+ */
+internal class Component<M : Any>(
+    private val name: String,
+    capacity: Int,
+    private val handle: (M) -> Unit,
+) {
+    private val ring = MpscArrayQueue<M>(capacity)
+    private val parked = AtomicBoolean(false)
+    private val thread = Thread(::run, name).apply { isDaemon = true }
+
+    @Volatile
+    private var stopping = false
+
+    /** The number of messages that wait. */
+    val depth: Int get() = ring.size
+
+    fun start() {
+        thread.start()
+    }
+
+    /** Adds [message] and returns true, or returns false when the ring buffer is full. */
+    fun offer(message: M): Boolean {
+        if (!ring.offer(message)) return false
+        if (parked.get()) LockSupport.unpark(thread)
+        return true
+    }
+
+    /** Stops the thread after the messages that already wait. */
+    fun stop() {
+        stopping = true
+        LockSupport.unpark(thread)
+    }
+
+    private fun run() {
+        while (true) {
+            val message = ring.poll()
+            if (message != null) {
+                handleLogged(message)
+            } else if (stopping) {
+                return
+            } else {
+                park()
+            }
+        }
+    }
+
+    private fun park() {
+        parked.set(true)
+        if (ring.isEmpty && !stopping) LockSupport.parkNanos(PARK_NANOS)
+        parked.set(false)
+    }
+
+    private fun handleLogged(message: M) {
+        try {
+            handle(message)
+        } catch (e: Exception) {
+            // A broken invariant leaves the component's state undefined, so the process must not go on with it.
+            Logger.error(e, "component {} failed on {}", name, message.javaClass.simpleName)
+            Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT)
+        }
+    }
+
+    private companion object {
+        const val PARK_NANOS = 50_000_000L
+        const val EXIT_BROKEN_INVARIANT = 70
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
@@ -0,0 +1,34 @@
+package oriolespindle.router.settings
+
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.router.http.Address
+import kotlin.time.Duration
+
+/** The effective settings of one instance. */
+internal data class Settings(
+    val instance: InstanceId,
+    val zone: ZoneId,
+    val callers: Address,
+    val administration: Address,
+    val peers: Address,
+    val platform: Address,
+    val fleetKey: Secret,
+    val seedPeers: List<Address>,
+    val logFormat: LogFormat,
+    val drainGrace: Duration,
+    val platformTimeout: Duration,
+    val loadPollInterval: Duration,
+    val tlsCertificate: String?,
+    val tlsKey: String?,
+)
+
+internal enum class LogFormat { TEXT, JSON }
+
+/** A value that must not appear in logs or output. */
+@JvmInline
+internal value class Secret(
+    val value: String,
+) {
+    override fun toString(): String = "********"
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -0,0 +1,87 @@
+package oriolespindle.router.state
+
+import oriolespindle.core.config.ObjectCache
+import oriolespindle.core.config.ObjectChange
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.platform.PlatformInstance
+import oriolespindle.router.runtime.Component
+import oriolespindle.router.runtime.TimerService
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Keeps the configuration and the knowledge about other instances, on one thread. */
+internal class StateComponent(
+    private val platform: PlatformClient,
+    private val timers: TimerService,
+    private val self: PlatformInstance,
+    metrics: Metrics,
+    private val changed: (List<StoredObject>) -> Boolean,
+) {
+    private val component = Component("state", RING_CAPACITY, ::handle)
+    private val cache = ObjectCache()
+    private val sync = ConfigurationSync(platform, cache, ::post, ::publish)
+    private val unpublished = ArrayDeque<List<StoredObject>>()
+    private var registered = false
+    private var registerDue = Timestamp(Long.MIN_VALUE)
+
+    /** The revision up to which this instance has every change. */
+    @Volatile
+    var revision: Long = 0
+        private set
+
+    init {
+        metrics.gauge("oriolespindle.configuration.revision") { revision }
+    }
+
+    fun start() {
+        component.start()
+        timers.every(TICK) { component.offer(StateMessage.Tick) }
+    }
+
+    private fun post(message: StateMessage) {
+        if (!component.offer(message)) timers.after(RING_RETRY) { post(message) }
+    }
+
+    private fun handle(message: StateMessage) {
+        val now = monotonicNow()
+        when (message) {
+            is StateMessage.Listed -> sync.listed(now, message.result)
+            is StateMessage.Watched -> sync.watched(now, message.watch, message.line)
+            is StateMessage.Instances -> Unit
+            is StateMessage.Tick -> tick(now)
+        }
+        revision = cache.revision.value
+    }
+
+    private fun tick(now: Timestamp) {
+        flush()
+        sync.tick(now)
+        if (!registered && now >= registerDue) {
+            registerDue = now + REGISTER_RETRY
+            platform.register(self) { done -> if (done) registered = true }
+        }
+    }
+
+    private fun publish(changes: List<ObjectChange>) {
+        if (changes.isEmpty()) return
+        unpublished.addLast(changes.map { it.after })
+        flush()
+    }
+
+    /** Hands changes on in order; what a full ring buffer does not take waits for the next tick. */
+    private fun flush() {
+        while (unpublished.isNotEmpty() && changed(unpublished.first())) unpublished.removeFirst()
+    }
+
+    private companion object {
+        const val RING_CAPACITY = 4_096
+        val TICK: Duration = 50.milliseconds
+        val RING_RETRY: Duration = 2.milliseconds
+        val REGISTER_RETRY: Duration = 1.seconds
+    }
+}
