Add the claim of non-idempotent calls

Cause: a caller may repeat a charge or a stock deduction through any instance while the platform's answers, the endpoint's answers or whole instances are lost, and the call must have at most one effect. Ruled out: treating a lost claim write as refused.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimCall.kt
@@ -0,0 +1,387 @@
+package oriolespindle.core.claim
+
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.outcome.UnknownReason
+import oriolespindle.core.time.Timestamp
+import kotlin.io.encoding.Base64
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * One request of a non-idempotent call; [arrived] is the wall-clock time at which it arrived.
+ *
+ * [request] must be new for each arrival, because it tells the claim of this request from that of an earlier one.
+ */
+public data class ClaimRequest(
+    public val request: RequestId,
+    public val key: IdempotencyKey,
+    public val target: ClaimObject,
+    public val digest: RequestDigest,
+    public val arrived: Instant,
+    public val deadline: Timestamp,
+)
+
+/**
+ * Runs a non-idempotent call at most once over all instances.
+ *
+ * The claim is in the platform before the first byte is sent. Only the request that holds the claim sends, once, and
+ * only its machine changes the claim afterwards, except that a claim in state [ClaimState.NotRun] may be taken over by
+ * a conditional update. A repeat never sends for a claim in another state, even when the holder is lost.
+ *
+ * [isLive] says whether an instance may still finish its calls. It decides only which kind of unknown outcome a repeat
+ * receives, so a wrong answer cannot make a call run twice.
+ */
+public class ClaimCall(
+    private val self: InstanceId,
+    private val request: ClaimRequest,
+    private val settings: ClaimSettings = ClaimSettings(),
+    private val isLive: (InstanceId) -> Boolean = { true },
+) {
+    private enum class Phase { NEW, CLAIMING, READING, SENT, STORING, FINISHED }
+
+    private var phase = Phase.NEW
+    private var answered = false
+    private var paused = false
+    private var anyWriteLost = false
+    private var failures = 0
+    private var firstWrite = Timestamp.ZERO
+    private var expected: ClaimVersion? = null
+    private var held: ClaimVersion? = null
+    private var stored: ClaimState = ClaimState.Claimed
+
+    /** Returns whether the call has been answered and needs no further event. */
+    public val finished: Boolean get() = phase == Phase.FINISHED
+
+    /** Returns what to do about [event]; an event that no longer matters returns nothing. */
+    public fun handle(
+        now: Timestamp,
+        event: ClaimEvent,
+    ): List<ClaimAction> =
+        when (event) {
+            is ClaimEvent.Start -> start(now)
+            is ClaimEvent.WriteLanded -> landed(now, event.version)
+            is ClaimEvent.WriteConflict -> conflict(now, event.current)
+            is ClaimEvent.WriteLost -> writeLost()
+            is ClaimEvent.WriteUnavailable -> writeUnavailable()
+            is ClaimEvent.ReadBack -> readBack(now, event.current)
+            is ClaimEvent.ReadUnavailable -> readUnavailable()
+            is ClaimEvent.EndpointAnswered -> endpointAnswered(event)
+            is ClaimEvent.EndpointNotRun -> endpointNotRun(event)
+            is ClaimEvent.EndpointLost -> endpointLost()
+            is ClaimEvent.NotSent -> if (phase == Phase.SENT) release(event.reason, NOT_SENT) else emptyList()
+            is ClaimEvent.DeadlinePassed -> deadlinePassed()
+            is ClaimEvent.WokeFromPause -> wokeFromPause()
+        }
+
+    private fun start(now: Timestamp): List<ClaimAction> {
+        check(phase == Phase.NEW) { "request ${request.request} was started twice" }
+        firstWrite = now
+        if (now >= request.deadline) {
+            phase = Phase.FINISHED
+            return notRun(RefusalReason.DEADLINE_UNREACHABLE, TOO_LATE)
+        }
+        return claim()
+    }
+
+    private fun claim(): List<ClaimAction> {
+        phase = Phase.CLAIMING
+        return listOf(ClaimAction.WriteClaim(request.target, record(ClaimState.Claimed), expected))
+    }
+
+    private fun landed(
+        now: Timestamp,
+        version: ClaimVersion,
+    ): List<ClaimAction> =
+        when (phase) {
+            Phase.CLAIMING -> {
+                holdClaim(now, version)
+            }
+
+            Phase.STORING -> {
+                finish()
+            }
+
+            else -> {
+                emptyList()
+            }
+        }
+
+    private fun holdClaim(
+        now: Timestamp,
+        version: ClaimVersion,
+    ): List<ClaimAction> {
+        held = version
+        if (answered || now >= request.deadline) return release(RefusalReason.DEADLINE_UNREACHABLE, TOO_LATE)
+        if (paused || now - firstWrite > settings.validity) return release(RefusalReason.PLATFORM_UNAVAILABLE, INVALID)
+        phase = Phase.SENT
+        return listOf(ClaimAction.Send(minOf(firstWrite + settings.validity, request.deadline)))
+    }
+
+    /** Gives up a claim under which no byte was sent, so that a repeat can run the call. */
+    private fun release(
+        reason: RefusalReason,
+        message: String,
+    ): List<ClaimAction> = notRun(reason, message) + store(ClaimState.NotRun)
+
+    private fun conflict(
+        now: Timestamp,
+        current: StoredClaim,
+    ): List<ClaimAction> =
+        when (phase) {
+            Phase.CLAIMING -> {
+                judge(now, current)
+            }
+
+            // Nobody else changes a claim that this request holds, so an earlier write of the outcome has landed.
+            Phase.STORING -> {
+                finish()
+            }
+
+            else -> {
+                emptyList()
+            }
+        }
+
+    private fun judge(
+        now: Timestamp,
+        current: StoredClaim,
+    ): List<ClaimAction> {
+        val record = current.record
+        if (record?.request == request.request) return holdClaim(now, current.version)
+        if (record?.state == ClaimState.NotRun && record.digest == request.digest) return takeOver(now, current)
+        phase = Phase.FINISHED
+        return if (answered) emptyList() else listOf(answerRepeat(now, record))
+    }
+
+    private fun takeOver(
+        now: Timestamp,
+        current: StoredClaim,
+    ): List<ClaimAction> {
+        if (answered) return finish()
+        if (now - firstWrite > settings.validity || paused) {
+            return finish() + notRun(RefusalReason.PLATFORM_UNAVAILABLE, INVALID)
+        }
+        expected = current.version
+        return claim()
+    }
+
+    private fun answerRepeat(
+        now: Timestamp,
+        record: ClaimRecord?,
+    ): ClaimAction {
+        answered = true
+        if (record == null) return unknown(UnknownReason.CLAIM_HOLDER_LOST, "the claim of this key cannot be read")
+        if (record.digest != request.digest) {
+            val message = "the idempotency key was used for another call"
+            return answer(ClaimOutcome.NotRun(CallOutcome.NotRun(RefusalReason.KEY_REUSED, message)))
+        }
+        return when (val state = record.state) {
+            is ClaimState.Done -> {
+                answer(ClaimOutcome.Answered(state.status, state.bodyBytes(), state.contentType, repeated = true))
+            }
+
+            is ClaimState.Unknown -> {
+                unknown(state.reason, "the answer to an earlier request was lost")
+            }
+
+            ClaimState.Claimed, ClaimState.NotRun -> {
+                claimedElsewhere(now, record)
+            }
+        }
+    }
+
+    private fun claimedElsewhere(
+        now: Timestamp,
+        record: ClaimRecord,
+    ): ClaimAction {
+        val age = request.arrived - record.time + (now - firstWrite)
+        if (!isLive(record.holder) || age > settings.longestCall) {
+            return unknown(UnknownReason.CLAIM_HOLDER_LOST, "the instance that held the claim of this key was lost")
+        }
+        val message = "an earlier request with this key is in progress"
+        return unknown(UnknownReason.CLAIM_IN_PROGRESS, message, settings.retryAfter)
+    }
+
+    private fun writeLost(): List<ClaimAction> =
+        when (phase) {
+            Phase.CLAIMING -> {
+                anyWriteLost = true
+                phase = Phase.READING
+                listOf(ClaimAction.ReadClaim(request.target))
+            }
+
+            Phase.STORING -> {
+                storeAgain()
+            }
+
+            else -> {
+                emptyList()
+            }
+        }
+
+    private fun writeUnavailable(): List<ClaimAction> =
+        when (phase) {
+            Phase.CLAIMING -> {
+                val answer = notRun(RefusalReason.PLATFORM_UNAVAILABLE, NO_PLATFORM)
+                // An earlier lost write may still have landed; releasing it lets a repeat run the call.
+                if (anyWriteLost) answer + readAgain() else finish() + answer
+            }
+
+            Phase.STORING -> {
+                storeAgain()
+            }
+
+            else -> {
+                emptyList()
+            }
+        }
+
+    private fun readBack(
+        now: Timestamp,
+        current: StoredClaim?,
+    ): List<ClaimAction> =
+        when {
+            phase != Phase.READING -> {
+                emptyList()
+            }
+
+            current != null -> {
+                judge(now, current)
+            }
+
+            answered -> {
+                finish()
+            }
+
+            now >= request.deadline -> {
+                finish() + notRun(RefusalReason.DEADLINE_UNREACHABLE, TOO_LATE)
+            }
+
+            paused || now - firstWrite > settings.validity -> {
+                finish() +
+                    notRun(RefusalReason.PLATFORM_UNAVAILABLE, INVALID)
+            }
+
+            else -> {
+                claim()
+            }
+        }
+
+    private fun readUnavailable(): List<ClaimAction> =
+        if (phase == Phase.READING) {
+            notRun(RefusalReason.PLATFORM_UNAVAILABLE, NO_PLATFORM) + readAgain()
+        } else {
+            emptyList()
+        }
+
+    private fun readAgain(): List<ClaimAction> {
+        failures++
+        if (failures >= settings.attempts) return finish()
+        phase = Phase.READING
+        return listOf(ClaimAction.ReadClaim(request.target, settings.backoff(failures)))
+    }
+
+    private fun endpointAnswered(event: ClaimEvent.EndpointAnswered): List<ClaimAction> {
+        if (phase != Phase.SENT) return emptyList()
+        val small = event.body.size <= settings.storedBodyLimit
+        val body = if (small) Base64.encode(event.body) else null
+        val answer = ClaimOutcome.Answered(event.status, event.body, event.contentType, repeated = false)
+        return answerOnce(answer) + store(ClaimState.Done(event.status, event.contentType, body))
+    }
+
+    private fun endpointNotRun(event: ClaimEvent.EndpointNotRun): List<ClaimAction> {
+        if (phase != Phase.SENT) return emptyList()
+        return notRun(RefusalReason.ENDPOINT_REFUSED, "the endpoint did not run the call", event.retryAfter) +
+            store(ClaimState.NotRun)
+    }
+
+    private fun endpointLost(): List<ClaimAction> {
+        if (phase != Phase.SENT) return emptyList()
+        val outcome = CallOutcome.Unknown(UnknownReason.ENDPOINT_LOST, "the endpoint's answer was lost")
+        return answerOnce(ClaimOutcome.Unknown(outcome)) + store(ClaimState.Unknown(UnknownReason.ENDPOINT_LOST))
+    }
+
+    private fun deadlinePassed(): List<ClaimAction> =
+        when (phase) {
+            Phase.NEW, Phase.CLAIMING, Phase.READING -> {
+                notRun(RefusalReason.DEADLINE_UNREACHABLE, TOO_LATE)
+            }
+
+            Phase.SENT -> {
+                val outcome = CallOutcome.Unknown(UnknownReason.DEADLINE_PASSED, "no answer came by the deadline")
+                answerOnce(ClaimOutcome.Unknown(outcome, settings.retryAfter))
+            }
+
+            Phase.STORING, Phase.FINISHED -> {
+                emptyList()
+            }
+        }
+
+    private fun wokeFromPause(): List<ClaimAction> {
+        paused = true
+        return if (phase == Phase.CLAIMING || phase == Phase.READING) {
+            notRun(RefusalReason.PLATFORM_UNAVAILABLE, INVALID)
+        } else {
+            emptyList()
+        }
+    }
+
+    private fun store(state: ClaimState): List<ClaimAction> {
+        phase = Phase.STORING
+        stored = state
+        failures = 0
+        return listOf(storeAction(Duration.ZERO))
+    }
+
+    private fun storeAgain(): List<ClaimAction> {
+        failures++
+        if (failures >= settings.attempts) return finish()
+        return listOf(storeAction(settings.backoff(failures)))
+    }
+
+    private fun storeAction(after: Duration): ClaimAction {
+        val version = checkNotNull(held) { "request ${request.request} stores an outcome without a claim" }
+        return ClaimAction.StoreOutcome(request.target, record(stored), version, after)
+    }
+
+    private fun record(state: ClaimState) =
+        ClaimRecord(request.key.value, request.digest, self, request.request, request.arrived, state)
+
+    private fun finish(): List<ClaimAction> {
+        phase = Phase.FINISHED
+        return emptyList()
+    }
+
+    private fun notRun(
+        reason: RefusalReason,
+        message: String,
+        retryAfter: Duration? = null,
+    ): List<ClaimAction> {
+        val after = retryAfter ?: settings.retryAfter.takeIf { reason.retryable }
+        return answerOnce(ClaimOutcome.NotRun(CallOutcome.NotRun(reason, message, after)))
+    }
+
+    private fun unknown(
+        reason: UnknownReason,
+        message: String,
+        retryAfter: Duration? = null,
+    ): ClaimAction = answer(ClaimOutcome.Unknown(CallOutcome.Unknown(reason, message), retryAfter))
+
+    private fun answerOnce(outcome: ClaimOutcome): List<ClaimAction> {
+        if (answered) return emptyList()
+        answered = true
+        return listOf(answer(outcome))
+    }
+
+    private fun answer(outcome: ClaimOutcome) = ClaimAction.Answer(outcome)
+
+    private companion object {
+        const val TOO_LATE = "the deadline passed before the call was sent"
+        const val INVALID = "the claim was not confirmed while it was valid"
+        const val NO_PLATFORM = "the platform cannot store the claim of this call"
+        const val NOT_SENT = "no endpoint was reached"
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/KeyRulesTest.kt
@@ -0,0 +1,55 @@
+package oriolespindle.core.claim
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.outcome.RefusalReason
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class KeyRulesTest {
+    private val text = "018CC251-F400-7ABC-8def-0123456789ab"
+    private val created = Instant.parse("2024-01-01T00:00:00Z")
+    private val rules = KeyRules()
+
+    private fun refusal(decision: KeyDecision) = (decision as? KeyDecision.Refused)?.outcome?.reason
+
+    @Test
+    fun `guards against two spellings of one UUID running twice`() {
+        expectThat(IdempotencyKey.parse(text)).isEqualTo(IdempotencyKey.parse("\"${text.lowercase()}\""))
+        expectThat(IdempotencyKey.parse(text).time).isEqualTo(created)
+        expectThat(IdempotencyKey.parseOrNull("two words")).isNull()
+        expectThat(IdempotencyKey.parseOrNull("k".repeat(IdempotencyKey.MAX_LENGTH + 1))).isNull()
+    }
+
+    @Test
+    fun `guards against a pruned key running again`() {
+        val key = IdempotencyKey.parse(text)
+
+        expectThat(rules.check(text, created + 24.hours)).isA<KeyDecision.Claim>()
+        expectThat(refusal(rules.check(text, created + 24.hours + 1.seconds))).isEqualTo(RefusalReason.KEY_EXPIRED)
+        expectThat(rules.prunable(key, created + 25.hours)).isFalse()
+        expectThat(rules.prunable(key, created + 25.hours + 1.seconds)).isTrue()
+        expectThat(rules.prunable(IdempotencyKey.parse("order-7"), created + 9000.hours)).isFalse()
+    }
+
+    @Test
+    fun `guards against a key from the future outliving its claim`() {
+        expectThat(rules.check(text, created - 5.minutes)).isA<KeyDecision.Claim>()
+        expectThat(refusal(rules.check(text, created - 6.minutes))).isEqualTo(RefusalReason.KEY_INVALID)
+    }
+
+    @Test
+    fun `guards against keys and calls that the contract does not allow`() {
+        expectThat(refusal(rules.check("order-7", created))).isEqualTo(RefusalReason.KEY_INVALID)
+        expectThat(rules.copy(allowKeysWithoutTime = true).check("order-7", created)).isA<KeyDecision.Claim>()
+        expectThat(refusal(rules.check(null, created))).isEqualTo(RefusalReason.KEY_REQUIRED)
+        expectThat(rules.copy(allowCallsWithoutKey = true).check(null, created)).isEqualTo(KeyDecision.SendOnce)
+    }
+}
