Reject contracts whose largest request cannot fit into the token rate

Cause: rates are bounded strictly over 10 s, so that a request with more tokens than that can never start. Ruled out: admitting it as an exception (the bound of the other teams' capacity would depend on one team's request size). Change: maximumPromptTokens + maximumGeneratedTokens must be within 8 s of tokensPerSecond. Conclusion: a team learns of the conflict when its contract is written and not from refused requests.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/contract/ContractCodec.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/contract/ContractCodec.kt
@@ -34,6 +34,9 @@
     // Retries of all teams stay within 10% of load only if those of each team do.
     private const val MAXIMUM_RETRY_BUDGET = 0.1
 
+    // The token rate is bounded over 10 s, and instances keep a part of it that one large request cannot have.
+    private const val LARGEST_REQUEST_SECONDS = 8
+
     private const val NAME_RULE = "must be 1 to 64 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
     private val NAME = Regex("[a-z0-9][a-z0-9._-]{0,63}")
 
@@ -118,6 +121,11 @@
             val value = contract.defaultDeadline.inWholeMilliseconds.toString()
             reader.violate("defaultDeadlineMs", value, "must not be above maximumDeadlineMs")
         }
+        val largest = contract.maximumPromptTokens.toLong() + contract.maximumGeneratedTokens
+        if (largest > contract.tokensPerSecond * LARGEST_REQUEST_SECONDS) {
+            val rule = "must allow maximumPromptTokens + maximumGeneratedTokens within $LARGEST_REQUEST_SECONDS s"
+            reader.violate("tokensPerSecond", contract.tokensPerSecond.toString(), rule)
+        }
         return contract
     }
 
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/contract/ContractCodecTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/contract/ContractCodecTest.kt
@@ -46,6 +46,13 @@
         expectThat(violations(json).single()).isEqualTo(Violation("weight", "1.0", "must be given once"))
     }
 
+    @Test
+    fun `the largest request must fit into the token rate - guards against a team whose requests can never start`() {
+        val json = ContractCodec.encode(sampleContract("a").copy(tokensPerSecond = 639.0))
+
+        expectThat(violations(json).single().field).isEqualTo("tokensPerSecond")
+    }
+
     @Test
     fun `numbers that JSON does not have are violations - guards against an infinite rate`() {
         for (number in listOf("NaN", "1e999", "Infinity", "5f", "null", "-1", "+1", "0x1p3", "[]", "{}")) {
