Add the team limiter

Cause: an instance has to admit each team's requests up to its part of the contract, and the parts of all instances together must stay within 102% over any 10 s. Ruled out: token buckets alone. A bucket that admits whole requests goes into debt, and the debts of all instances add up: 9 instances with one 1,500-token request each exceed a contract of 1,000 tokens/s by 13,500 tokens. Change: TeamLimiter with a token bucket for an even pace, a window of 10 s that counts each unit as occupied for 10 s after its use, concurrency in whole slots, settling of actual tokens, and shares that lapse at a given time. Conclusion: the bound holds at one instance; the ledger has to keep it over instances.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/limit/RateLimit.kt
@@ -0,0 +1,172 @@
+package oriolespindle.core.limit
+
+import oriolespindle.core.time.Timestamp
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.DurationUnit
+
+/**
+ * The local part of one rate of a contract.
+ *
+ * A token bucket spreads the admitted amount over time. It is in debt after a large request, which makes its bound too
+ * weak for small contracts on many instances, so that the amount of a window is also bounded: each unit stands for a
+ * fixed amount and is occupied for one window after its use. As only unoccupied units are given to other instances,
+ * the sum over all instances keeps the bound as well.
+ */
+internal class RateLimit(
+    private val settings: LimiterSettings,
+) {
+    private val admitted = RateWindow(settings.window, settings.slice)
+    private val offered = RateWindow(settings.demandWindow, settings.slice)
+    private val seconds = settings.window.toDouble(DurationUnit.SECONDS)
+    private val burst = settings.burst.toDouble(DurationUnit.SECONDS)
+    private var rate = 0.0
+    private var level = 0.0
+    private var refilledAt: Timestamp? = null
+    private var received = 0
+    private var busySince: Timestamp? = null
+    private var refusedAt: Timestamp? = null
+    private var smallestRefused = 0L
+
+    var units: Int = 0
+        private set
+
+    /** Sets the units; added units come with credit, because they were unoccupied where they came from. */
+    fun assign(value: Int) {
+        if (value > units) received += value - units
+        units = value
+    }
+
+    fun offer(
+        now: Timestamp,
+        amount: Long,
+        contractRate: Double,
+    ) {
+        rate = contractRate
+        refill(now)
+        offered.advance(now)
+        if (offered.used == 0L) busySince = now
+        offered.add(now, amount)
+    }
+
+    /** Returns whether [amount] could ever be admitted by an instance that has all units. */
+    fun isPossible(amount: Long): Boolean = amount <= budget(LimitKey.TOTAL_UNITS)
+
+    fun lacksUnits(amount: Long): Boolean = amount > budget(units)
+
+    /** Returns the time until [amount] can be admitted, 0 if it can be now. */
+    fun waitFor(
+        now: Timestamp,
+        amount: Long,
+    ): Duration {
+        if (amount == 0L) return Duration.ZERO
+        if (lacksUnits(amount)) return refuse(now, amount, settings.transferTime)
+        admitted.advance(now)
+        val excess = admitted.used + amount - budget(units)
+        val windowWait = checkNotNull(admitted.timeToRelease(now, excess)) { "window counts less than its excess" }
+        val wait = maxOf(windowWait, bucketWait())
+        return if (wait > Duration.ZERO) refuse(now, amount, wait) else wait
+    }
+
+    fun take(
+        now: Timestamp,
+        amount: Long,
+    ) {
+        admitted.add(now, amount)
+        level = (level - amount).coerceAtLeast(-localRate())
+    }
+
+    fun settle(
+        now: Timestamp,
+        admittedAt: Timestamp,
+        estimated: Long,
+        actual: Long,
+    ) {
+        if (actual > estimated) {
+            admitted.add(now, actual - estimated)
+        } else {
+            admitted.refund(now, admittedAt, estimated - actual)
+        }
+        level = (level + estimated - actual).coerceIn(-localRate(), maxOf(level, localRate() * burst))
+    }
+
+    /** Returns the usage in units, or null if there was none lately. */
+    fun usage(
+        now: Timestamp,
+        key: LimitKey,
+    ): KeyUsage? {
+        admitted.advance(now)
+        offered.advance(now)
+        if (admitted.used == 0L && offered.used == 0L) return null
+        val refusal = refusedAt?.takeIf { now - it <= settings.demandWindow }
+        val need = if (refusal == null) 0 else unitsFor(admitted.used + smallestRefused)
+        return KeyUsage(key, unitsFor(admitted.used), demand(now), need)
+    }
+
+    private fun demand(now: Timestamp): Int {
+        val since = busySince
+        if (since == null || rate <= 0.0) return 0
+        val elapsed = (now - since).coerceIn(MINIMUM_SAMPLE, settings.demandWindow)
+        val demandRate = offered.used / elapsed.toDouble(DurationUnit.SECONDS)
+        return toUnits(demandRate / rate * HEADROOM)
+    }
+
+    private fun refuse(
+        now: Timestamp,
+        amount: Long,
+        wait: Duration,
+    ): Duration {
+        val last = refusedAt
+        val recent = last != null && now - last <= settings.demandWindow
+        smallestRefused = if (recent) minOf(smallestRefused, amount) else amount
+        refusedAt = now
+        return wait
+    }
+
+    private fun refill(now: Timestamp) {
+        val depth = localRate() * burst
+        val last = refilledAt
+        level =
+            when (last) {
+                null -> depth
+                else -> maxOf(level, minOf(depth, level + localRate() * (now - last).toDouble(DurationUnit.SECONDS)))
+            }
+        if (received > 0) {
+            val credit = rate * seconds * received / LimitKey.TOTAL_UNITS
+            level = maxOf(level, minOf(level + credit, rate * burst))
+            received = 0
+        }
+        refilledAt = now
+    }
+
+    private fun bucketWait(): Duration {
+        if (level > 0) return Duration.ZERO
+        val local = localRate()
+        return if (local <=
+            0.0
+        ) {
+            settings.transferTime
+        } else {
+            (-level / local * NANOS).toLong().nanoseconds + 1.milliseconds
+        }
+    }
+
+    private fun localRate(): Double = rate * units / LimitKey.TOTAL_UNITS
+
+    private fun budget(units: Int): Long = (fullBudget() * units / LimitKey.TOTAL_UNITS).toLong()
+
+    private fun fullBudget(): Double = rate * seconds * (1 + settings.tolerance)
+
+    private fun unitsFor(amount: Long): Int = if (rate <= 0.0) 0 else toUnits(amount / fullBudget())
+
+    private fun toUnits(part: Double): Int =
+        ceil(part * LimitKey.TOTAL_UNITS).coerceAtMost(LimitKey.TOTAL_UNITS.toDouble()).toInt()
+
+    private companion object {
+        const val NANOS = 1e9
+        const val HEADROOM = 1.05
+        val MINIMUM_SAMPLE = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/limit/RateWindow.kt
@@ -0,0 +1,77 @@
+package oriolespindle.core.limit
+
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** The sum of amounts over a sliding time; an amount stays counted for at least [window] and at most one slice more. */
+internal class RateWindow(
+    window: Duration,
+    slice: Duration,
+) {
+    private val sliceNanos = slice.inWholeNanoseconds
+    private val slices = LongArray((window.inWholeNanoseconds / sliceNanos).toInt() + 1)
+    private var current = Long.MIN_VALUE
+
+    var used: Long = 0
+        private set
+
+    fun advance(now: Timestamp) {
+        val index = index(now)
+        if (index <= current) return
+        val passed = if (current == Long.MIN_VALUE) slices.size.toLong() else index - current
+        if (passed >= slices.size) {
+            slices.fill(0)
+            used = 0
+        } else {
+            for (i in current + 1..index) clear(i)
+        }
+        current = index
+    }
+
+    fun add(
+        now: Timestamp,
+        amount: Long,
+    ) {
+        advance(now)
+        slices[position(current)] += amount
+        used += amount
+    }
+
+    /** Takes back [amount] that was added at [addedAt]; without effect when it is no longer counted. */
+    fun refund(
+        now: Timestamp,
+        addedAt: Timestamp,
+        amount: Long,
+    ) {
+        advance(now)
+        val index = index(addedAt)
+        if (index <= current - slices.size) return
+        slices[position(index)] -= amount
+        used -= amount
+    }
+
+    /** Returns the time until at least [amount] of what is counted now no longer is, or null if less is counted. */
+    fun timeToRelease(
+        now: Timestamp,
+        amount: Long,
+    ): Duration? {
+        advance(now)
+        if (amount <= 0) return Duration.ZERO
+        var released = 0L
+        for (i in current - slices.size + 1..current) {
+            released += slices[position(i)]
+            if (released >= amount) return ((i + slices.size) * sliceNanos - now.nanos).nanoseconds
+        }
+        return null
+    }
+
+    private fun clear(index: Long) {
+        used -= slices[position(index)]
+        slices[position(index)] = 0
+    }
+
+    private fun index(time: Timestamp): Long = Math.floorDiv(time.nanos, sliceNanos)
+
+    private fun position(index: Long): Int = Math.floorMod(index, slices.size.toLong()).toInt()
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/limit/TeamLimiter.kt
@@ -0,0 +1,127 @@
+package oriolespindle.core.limit
+
+import oriolespindle.core.contract.Contract
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+
+/**
+ * Admits requests of teams up to this instance's part of each contract.
+ *
+ * The part comes from the [ShareLedger] by [apply]. Until the first update, and after the validity of the last one has
+ * passed, nothing is admitted. Over any 10 s, all instances together admit at most 2% more than a contract's rates;
+ * what is counted is the settled cost of a request at the time of its admission.
+ */
+public class TeamLimiter(
+    private val settings: LimiterSettings = LimiterSettings(),
+) {
+    private val teams = mutableMapOf<TeamId, TeamState>()
+    private var sequence = 0L
+    private var validUntil: Timestamp? = null
+
+    /** Decides whether a request of [team] with the estimated [cost] may start now. */
+    public fun admit(
+        now: Timestamp,
+        team: TeamId,
+        cost: TokenCost,
+        contract: Contract,
+    ): LimitDecision {
+        val valid = validUntil
+        if (valid == null || now > valid) {
+            return LimitDecision.Refused(RefusalReason.CONFIGURATION_MISSING, settings.transferTime)
+        }
+        val state = state(team)
+        if (!state.slots.take(now, contract.concurrency)) {
+            val awaiting = state.slots.lacksUnits()
+            val retryAfter = if (awaiting) settings.transferTime else state.slots.retryAfter()
+            return LimitDecision.Refused(RefusalReason.CONCURRENCY, retryAfter, awaiting)
+        }
+        val refusal = rateRefusal(now, state, cost, contract)
+        if (refusal != null) {
+            state.slots.undo()
+            return refusal
+        }
+        state.requests.take(now, 1)
+        state.tokens.take(now, cost.total)
+        return LimitDecision.Admitted(Permit(team, cost, now))
+    }
+
+    /**
+     * Ends the request that [permit] admitted: frees its slot and corrects the tokens charged to the [actual] ones.
+     *
+     * @throws IllegalStateException if the permit was settled before.
+     */
+    public fun settle(
+        now: Timestamp,
+        permit: Permit,
+        actual: TokenCost,
+    ) {
+        check(!permit.settled) { "permit of team ${permit.team} was settled before" }
+        permit.settled = true
+        val state = state(permit.team)
+        state.slots.giveBack(now, permit.admittedAt)
+        state.tokens.settle(now, permit.admittedAt, permit.cost.total, actual.total)
+    }
+
+    /** Takes the units that may be used from now on; an update that is older than the last one is ignored. */
+    public fun apply(update: ShareUpdate) {
+        if (update.sequence < sequence) return
+        sequence = update.sequence
+        validUntil = update.validUntil
+        for ((key, units) in update.units) {
+            val state = state(key.team)
+            when (key.kind) {
+                LimitKind.REQUESTS -> state.requests.assign(units)
+                LimitKind.TOKENS -> state.tokens.assign(units)
+                LimitKind.CONCURRENCY -> state.slots.units = units
+            }
+        }
+    }
+
+    /**
+     * Returns the usage for the ledger.
+     *
+     * It should be reported after every update that lowers units and at least every 100 ms.
+     */
+    public fun usage(now: Timestamp): UsageReport {
+        val usages = mutableListOf<KeyUsage>()
+        for ((team, state) in teams) {
+            state.requests.usage(now, LimitKey(team, LimitKind.REQUESTS))?.let(usages::add)
+            state.tokens.usage(now, LimitKey(team, LimitKind.TOKENS))?.let(usages::add)
+            state.slots.usage(now, LimitKey(team, LimitKind.CONCURRENCY))?.let(usages::add)
+        }
+        return UsageReport(sequence, usages)
+    }
+
+    /** Returns the refusal with the longer wait, so that a retry after it meets neither limit. */
+    private fun rateRefusal(
+        now: Timestamp,
+        state: TeamState,
+        cost: TokenCost,
+        contract: Contract,
+    ): LimitDecision.Refused? {
+        state.requests.offer(now, 1, contract.requestsPerSecond)
+        state.tokens.offer(now, cost.total, contract.tokensPerSecond)
+        if (!state.tokens.isPossible(cost.total)) {
+            return LimitDecision.Refused(RefusalReason.TOO_MANY_TOKENS, retryAfter = null)
+        }
+        val requestWait = state.requests.waitFor(now, 1)
+        val tokenWait = state.tokens.waitFor(now, cost.total)
+        val wait = maxOf(requestWait, tokenWait)
+        if (wait <= Duration.ZERO) return null
+        val reason = if (requestWait >= tokenWait) RefusalReason.REQUEST_RATE else RefusalReason.TOKEN_RATE
+        val awaiting = state.requests.lacksUnits(1) || state.tokens.lacksUnits(cost.total)
+        return LimitDecision.Refused(reason, wait, awaiting)
+    }
+
+    private fun state(team: TeamId): TeamState = teams.getOrPut(team) { TeamState(settings) }
+
+    private class TeamState(
+        settings: LimiterSettings,
+    ) {
+        val requests = RateLimit(settings)
+        val tokens = RateLimit(settings)
+        val slots = SlotLimit(settings)
+    }
+}
