--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
@@ -48,7 +48,7 @@
         return this
     }
 
-    /** Closes the listener and resets every connection, so that new ones are refused until [listen]. */
+    /** Closes the listener and every connection, so that new ones are refused until [listen]. */
     @Synchronized
     fun refuse() {
         listener?.close()?.syncUninterruptibly()
@@ -71,6 +71,16 @@
         refuse()
     }
 
+    /** Closes the listener and resets every connection without waiting; may be called on an event loop. */
+    fun reset() {
+        listener?.close()
+        listener = null
+        connections.forEach {
+            it.config().setOption(ChannelOption.SO_LINGER, 0)
+            it.close()
+        }
+    }
+
     private fun bind(to: InetSocketAddress) {
         val channel =
             ServerBootstrap()
