Add the administration API for stored objects and status

Cause: operators change contracts and configuration through an API and never by hand. Change: conditional reads and writes of stored objects with roles and validation, status, operators' bearer tokens. Conclusion: to be covered by tests of the running process.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -2,7 +2,14 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.json.JsonObject
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.contract.KeyDigest
 import oriolespindle.router.administration.AdministrationApi
+import oriolespindle.router.administration.ObjectApi
+import oriolespindle.router.administration.OperatorValue
+import oriolespindle.router.administration.Operators
+import oriolespindle.router.administration.StatusReport
 import oriolespindle.router.endpoint.LoadPoller
 import oriolespindle.router.http.Address
 import oriolespindle.router.http.HttpClient
@@ -36,9 +43,11 @@
         LoadPoller(http, settings.loadPollInterval * POLL_TIMEOUT_FACTOR) { endpoint, answer ->
             requests.load(RequestMessage.Load(endpoint, answer))
         }
-    private val state = StateComponent(platform, timers, self(), metrics, requests::changed)
+    private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
+    private val state = StateComponent(platform, timers, self(), metrics, requests::changed, ::operatorsChanged)
     private val callers = HttpServer(group, handler = requests::arrived)
-    private val administration = HttpServer(group, handler = AdministrationApi(metrics, ::isReady)::handle)
+    private val administrationApi = AdministrationApi(metrics, operators, ObjectApi(state), ::isReady, ::status)
+    private val administration = HttpServer(group, handler = administrationApi::handle)
 
     fun start() {
         requests.start()
@@ -56,6 +65,20 @@
         timers.every(settings.loadPollInterval) { http.closeExpired() }
     }
 
+    /** Collects the status of each component on that component's own thread. */
+    private fun status(answer: (JsonObject) -> Unit) {
+        state.read { cache ->
+            val configuration = StatusReport.configuration(cache)
+            requests.status { routing ->
+                answer(StatusReport.whole(settings, configuration, routing))
+            }
+        }
+    }
+
+    private fun operatorsChanged(items: List<StoredObject>) {
+        operators.replace(items.mapNotNull { item -> item.value?.let(OperatorValue::parseOrNull) })
+    }
+
     private fun isReady(): Boolean = state.revision > 0
 
     private fun self(): PlatformInstance =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/AdministrationApi.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/AdministrationApi.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.administration
 
+import kotlinx.serialization.json.JsonObject
 import oriolespindle.router.http.HttpAnswer
 import oriolespindle.router.http.ServerExchange
 import oriolespindle.router.metrics.Metrics
@@ -7,28 +8,46 @@
 /** Answers operators, metric collectors and the platform's health checks. */
 internal class AdministrationApi(
     private val metrics: Metrics,
+    private val operators: Operators,
+    private val objects: ObjectApi,
     private val ready: () -> Boolean,
+    private val status: (answer: (JsonObject) -> Unit) -> Unit,
 ) {
     fun handle(exchange: ServerExchange) {
-        exchange.respond(answer(exchange))
+        when (exchange.path) {
+            "/healthz" -> exchange.respond(AdministrationAnswers.text(STATUS_OK, "ok"))
+            "/readyz" -> exchange.respond(readiness())
+            "/metrics" -> exchange.respond(AdministrationAnswers.text(STATUS_OK, metrics.scrape()))
+            else -> authorized(exchange)
+        }
     }
 
-    private fun answer(exchange: ServerExchange): HttpAnswer =
-        when (exchange.path) {
-            "/healthz" -> text(STATUS_OK, "ok")
-            "/readyz" -> if (ready()) text(STATUS_OK, "ready") else text(STATUS_UNAVAILABLE, "not ready")
-            "/metrics" -> text(STATUS_OK, metrics.scrape())
-            else -> HttpAnswer.json(STATUS_NOT_FOUND, """{"error":{"message":"no such path"}}""")
+    private fun readiness(): HttpAnswer =
+        if (ready()) {
+            AdministrationAnswers.text(STATUS_OK, "ready")
+        } else {
+            AdministrationAnswers.text(STATUS_UNAVAILABLE, "not ready")
         }
 
-    private fun text(
-        status: Int,
-        body: String,
-    ): HttpAnswer = HttpAnswer(status, body.toByteArray(), contentType = "text/plain; charset=utf-8")
+    private fun authorized(exchange: ServerExchange) {
+        val isObject = exchange.path.startsWith(ObjectApi.PREFIX)
+        val required = if (isObject) objects.requiredRole(exchange) else Role.READ
+        val role = operators.role(exchange.header("Authorization"))
+        when {
+            role == null -> exchange.respond(AdministrationAnswers.error(STATUS_UNAUTHORIZED, NO_TOKEN))
+            required == null -> exchange.respond(AdministrationAnswers.notFound())
+            role < required -> exchange.respond(AdministrationAnswers.error(STATUS_FORBIDDEN, "needs role $required"))
+            isObject -> objects.handle(exchange)
+            exchange.path == "/v1/status" -> status { exchange.respond(AdministrationAnswers.json(STATUS_OK, it)) }
+            else -> exchange.respond(AdministrationAnswers.notFound())
+        }
+    }
 
     private companion object {
         const val STATUS_OK = 200
-        const val STATUS_NOT_FOUND = 404
+        const val STATUS_UNAUTHORIZED = 401
+        const val STATUS_FORBIDDEN = 403
         const val STATUS_UNAVAILABLE = 503
+        const val NO_TOKEN = "the request has no valid bearer token of an operator"
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformObject.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformObject.kt
@@ -2,6 +2,10 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
+import oriolespindle.core.config.ObjectKey
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.Revision
+import oriolespindle.core.config.StoredObject
 
 /** An object as the platform's API returns it. */
 @Serializable
@@ -12,6 +16,12 @@
     val value: JsonElement,
 )
 
+/** Returns the key of this object. */
+internal fun PlatformObject.key(): ObjectKey = ObjectKey(ObjectKind(kind), name)
+
+/** Returns this version as the core's components take it. */
+internal fun PlatformObject.toStored(): StoredObject = StoredObject(key(), Revision(version), value.toString())
+
 @Serializable
 internal data class PlatformList(
     val revision: Long,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.request
 
+import kotlinx.serialization.json.JsonObject
 import oriolespindle.core.chain.LinkObservation
 import oriolespindle.core.chain.LoadReport
 import oriolespindle.core.config.ObjectKind
@@ -59,6 +60,11 @@
         )
     }
 
+    /** Passes a report on requests, models and unusable objects to [answer] on the component's own thread. */
+    fun status(answer: (JsonObject) -> Unit) {
+        context.continueWith { answer(RequestStatus.report(context, routes, sessions.size)) }
+    }
+
     private fun handle(message: RequestMessage) {
         when (message) {
             is RequestMessage.Arrived -> api.handle(message.exchange)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
@@ -14,6 +14,7 @@
     val peers: Address,
     val platform: Address,
     val fleetKey: Secret,
+    val operatorToken: Secret?,
     val seedPeers: List<Address>,
     val logFormat: LogFormat,
     val drainGrace: Duration,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsOptions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsOptions.kt
@@ -46,6 +46,11 @@
         .convert { readSecret(it) ?: fail("file '$it' cannot be read or holds fewer than 16 bytes") }
         .required()
 
+    private val operatorTokenFile by setting(
+        "--operator-token-file",
+        "File with a bearer token that may administer even while no operator is stored.",
+    ).convert { readSecret(it) ?: fail("file '$it' cannot be read or holds fewer than 16 bytes") }
+
     private val seedPeers by setting("--seed-peers", "IP:PORT of other instances, used while the platform is down.")
         .address()
         .split(",")
@@ -83,6 +88,7 @@
             peers = peers,
             platform = platform,
             fleetKey = fleetKeyFile,
+            operatorToken = operatorTokenFile,
             seedPeers = seedPeers,
             logFormat = logFormat,
             drainGrace = drainGraceMillis.milliseconds,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ConfigurationSync.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ConfigurationSync.kt
@@ -3,7 +3,6 @@
 import oriolespindle.core.config.ObjectCache
 import oriolespindle.core.config.ObjectChange
 import oriolespindle.core.config.ObjectEvent
-import oriolespindle.core.config.ObjectKey
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.StoredObject
@@ -12,10 +11,11 @@
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.platform.PlatformList
-import oriolespindle.router.platform.PlatformObject
 import oriolespindle.router.platform.PlatformResult
 import oriolespindle.router.platform.Watch
 import oriolespindle.router.platform.WatchLine
+import oriolespindle.router.platform.key
+import oriolespindle.router.platform.toStored
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -53,7 +53,7 @@
             return
         }
         val revision = Revision(result.value.revision)
-        val items = result.value.items.map(::stored)
+        val items = result.value.items.map { it.toStored() }
         onChange(cache.apply(now, ObjectEvent.Listed(kinds, revision, items)))
         openWatch(now, revision)
     }
@@ -99,17 +99,13 @@
         val revision = Revision(line.revision)
         val item = line.`object`
         return when (line.type) {
-            "put" -> item?.let { ObjectEvent.Watched(span, stored(it)) }
-            "delete" -> item?.let { ObjectEvent.Watched(span, StoredObject.tombstone(key(it), revision)) }
+            "put" -> item?.let { ObjectEvent.Watched(span, it.toStored()) }
+            "delete" -> item?.let { ObjectEvent.Watched(span, StoredObject.tombstone(it.key(), revision)) }
             "idle" -> ObjectEvent.WatchIdle(span, revision)
             else -> null
         }
     }
 
-    private fun key(item: PlatformObject) = ObjectKey(ObjectKind(item.kind), item.name)
-
-    private fun stored(item: PlatformObject) = StoredObject(key(item), Revision(item.version), item.value.toString())
-
     private companion object {
         /** The platform sends a line each second, so several lost ones mean that the connection is gone. */
         val WATCH_SILENCE: Duration = 4.seconds
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ObjectWriter.kt
@@ -0,0 +1,94 @@
+package oriolespindle.router.state
+
+import kotlinx.serialization.json.Json
+import oriolespindle.core.config.ConditionalWrite
+import oriolespindle.core.config.ObjectKey
+import oriolespindle.core.config.Revision
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.config.WriteAction
+import oriolespindle.core.config.WriteEvent
+import oriolespindle.core.config.WriteResult
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.platform.PlatformObject
+import oriolespindle.router.platform.PlatformResult
+import oriolespindle.router.platform.toStored
+import oriolespindle.router.runtime.TimerService
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
+
+/** Carries out conditional writes; every event is handled on the thread that [post] leads to. */
+internal class ObjectWriter(
+    private val platform: PlatformClient,
+    private val timers: TimerService,
+    private val post: (() -> Unit) -> Unit,
+) {
+    /** Writes [value], or deletes when it is null, if the object is at [expected], or absent when that is null. */
+    fun write(
+        key: ObjectKey,
+        value: String?,
+        expected: Revision?,
+        result: (WriteResult) -> Unit,
+    ) {
+        Write(key, ConditionalWrite(key, value, expected), result).handle(WriteEvent.Start)
+    }
+
+    private inner class Write(
+        private val key: ObjectKey,
+        private val machine: ConditionalWrite,
+        private val result: (WriteResult) -> Unit,
+    ) {
+        fun handle(event: WriteEvent) {
+            machine.handle(monotonicNow(), event).forEach(::perform)
+        }
+
+        private fun perform(action: WriteAction) {
+            when (action) {
+                is WriteAction.Write -> send(action)
+                is WriteAction.Read -> read()
+                is WriteAction.Wait -> wait(action.until)
+                is WriteAction.Finish -> result(action.result)
+            }
+        }
+
+        private fun send(action: WriteAction.Write) {
+            val value = action.value
+            val expected = action.expected?.value
+            if (value != null) {
+                val json = Json.parseToJsonElement(value)
+                platform.put(key.kind.code, key.name, json, expected) { answered(writeEvent(it)) }
+            } else {
+                val version = checkNotNull(expected) { "a deletion of $key names no version" }
+                platform.delete(key.kind.code, key.name, version) { answered(writeEvent(it)) }
+            }
+        }
+
+        private fun read() {
+            platform.get(key.kind.code, key.name) { answered(readEvent(it)) }
+        }
+
+        private fun wait(until: Timestamp) {
+            val delay = (until - monotonicNow()).coerceAtLeast(Duration.ZERO)
+            timers.after(delay) { answered(WriteEvent.Tick) }
+        }
+
+        private fun answered(event: WriteEvent) {
+            post { handle(event) }
+        }
+    }
+
+    private fun writeEvent(answer: PlatformResult<PlatformObject>): WriteEvent =
+        when (answer) {
+            is PlatformResult.Ok -> WriteEvent.Landed(Revision(answer.value.version))
+            is PlatformResult.Conflict -> WriteEvent.Conflict(answer.current?.toStored())
+            is PlatformResult.NotFound -> WriteEvent.Conflict(null)
+            is PlatformResult.Unavailable -> if (answer.maybeApplied) WriteEvent.Lost else WriteEvent.Unavailable
+        }
+
+    private fun readEvent(answer: PlatformResult<PlatformObject>): WriteEvent =
+        when (answer) {
+            is PlatformResult.Ok -> WriteEvent.ReadBack(answer.value.toStored())
+            is PlatformResult.NotFound -> WriteEvent.ReadBack(null as StoredObject?)
+            is PlatformResult.Conflict, is PlatformResult.Unavailable -> WriteEvent.Unavailable
+        }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -2,7 +2,11 @@
 
 import oriolespindle.core.config.ObjectCache
 import oriolespindle.core.config.ObjectChange
+import oriolespindle.core.config.ObjectKey
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.Revision
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.config.WriteResult
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.metrics.Metrics
 import oriolespindle.router.platform.PlatformClient
@@ -21,10 +25,12 @@
     private val self: PlatformInstance,
     metrics: Metrics,
     private val changed: (List<StoredObject>) -> Boolean,
+    private val operators: (List<StoredObject>) -> Unit,
 ) {
     private val component = Component("state", RING_CAPACITY, ::handle)
     private val cache = ObjectCache()
     private val sync = ConfigurationSync(platform, cache, ::post, ::publish)
+    private val writer = ObjectWriter(platform, timers) { block -> post(StateMessage.Run(block)) }
     private val unpublished = ArrayDeque<List<StoredObject>>()
     private var registered = false
     private var registerDue = Timestamp(Long.MIN_VALUE)
@@ -43,6 +49,21 @@
         timers.every(TICK) { component.offer(StateMessage.Tick) }
     }
 
+    /** Runs [block] with the cached objects on this component's thread; it must not keep the cache. */
+    fun read(block: (ObjectCache) -> Unit) {
+        post(StateMessage.Run { block(cache) })
+    }
+
+    /** Writes or, with a null [value], deletes an object in the platform on condition of its version. */
+    fun write(
+        key: ObjectKey,
+        value: String?,
+        expected: Revision?,
+        result: (WriteResult) -> Unit,
+    ) {
+        post(StateMessage.Run { writer.write(key, value, expected, result) })
+    }
+
     private fun post(message: StateMessage) {
         if (!component.offer(message)) timers.after(RING_RETRY) { post(message) }
     }
@@ -53,6 +74,7 @@
             is StateMessage.Listed -> sync.listed(now, message.result)
             is StateMessage.Watched -> sync.watched(now, message.watch, message.line)
             is StateMessage.Instances -> Unit
+            is StateMessage.Run -> message.block()
             is StateMessage.Tick -> tick(now)
         }
         revision = cache.revision.value
@@ -69,6 +91,7 @@
 
     private fun publish(changes: List<ObjectChange>) {
         if (changes.isEmpty()) return
+        if (changes.any { it.key.kind == ObjectKind.OPERATOR }) operators(cache.live(ObjectKind.OPERATOR))
         unpublished.addLast(changes.map { it.after })
         flush()
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateMessage.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateMessage.kt
@@ -21,5 +21,10 @@
         val result: PlatformResult<PlatformInstanceList>,
     ) : StateMessage
 
+    /** Work for this component's thread. */
+    class Run(
+        val block: () -> Unit,
+    ) : StateMessage
+
     data object Tick : StateMessage
 }
