--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/ObjectApi.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/ObjectApi.kt
@@ -82,7 +82,13 @@
         state.read { cache ->
             val item = cache.get(key)?.takeUnless { it.deleted }
             exchange.respond(
-                if (item == null) AdministrationAnswers.notFound() else AdministrationAnswers.json(STATUS_OK, objectJson(item)),
+                if (item ==
+                    null
+                ) {
+                    AdministrationAnswers.notFound()
+                } else {
+                    AdministrationAnswers.json(STATUS_OK, objectJson(item))
+                },
             )
         }
     }
@@ -232,7 +238,7 @@
         private const val STATUS_PRECONDITION_REQUIRED = 428
         private const val STATUS_BAD_GATEWAY = 502
         private const val STATUS_UNAVAILABLE = 503
-        private const val CONDITION_RULE = "a write needs If-Match with the version that it replaces, or If-None-Match: *"
+        private const val CONDITION_RULE = "a write needs If-Match with the replaced version, or If-None-Match: *"
         private const val NOT_WRITTEN = "the platform cannot be reached; nothing was changed"
         private const val UNCERTAIN = "no answer of the platform tells whether the change landed; read the object again"
         private val OPERATED = setOf(ObjectKind.DRAIN, ObjectKind.ORDER)
