Add the retry policy with budgets for each team and service

Cause: in an outage every attempt fails, and unlimited retries multiply the load that the remaining endpoints receive. Ruled out: a ratio of 0.1 for the 10 s window. A saved-up token bucket alone: a large one exceeds the ratio at the start of an outage, a small one refuses the retries of one failed endpoint's requests. Change: RetryPolicy with a sliding window for each team and service and a ratio of 0.08, no retry that cannot finish by its deadline, and a final answer that is "not run" only if no attempt can have run.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryBudget.kt
@@ -0,0 +1,58 @@
+package oriolespindle.core.retry
+
+import oriolespindle.core.time.Timestamp
+
+/**
+ * Counts admitted requests and retries over a sliding window.
+ *
+ * A retry is allowed while the retries of the window, with this one, are within the ratio. A source with too few
+ * requests in a window for one retry has a credit instead, which grows by the ratio with each request up to one retry.
+ */
+internal class RetryBudget(
+    private val settings: RetrySettings,
+) {
+    private val slotNanos = settings.window.inWholeNanoseconds / SLOTS
+    private val admitted = IntArray(SLOTS)
+    private val retried = IntArray(SLOTS)
+    private var slot = Long.MIN_VALUE
+    private var credit = 0.0
+
+    fun admitted(now: Timestamp) {
+        advance(now)
+        admitted[index()]++
+        credit = minOf(1.0, credit + settings.ratio)
+    }
+
+    fun allows(now: Timestamp): Boolean {
+        advance(now)
+        val share = settings.ratio * admitted.sum()
+        return if (share >= 1) retried.sum() + 1 <= share + ROUNDING else credit >= 1 - ROUNDING
+    }
+
+    fun spend(now: Timestamp) {
+        advance(now)
+        retried[index()]++
+        credit = maxOf(0.0, credit - 1)
+    }
+
+    private fun index() = Math.floorMod(slot, SLOTS)
+
+    private fun advance(now: Timestamp) {
+        val current = Math.floorDiv(now.nanos, slotNanos)
+        if (current <= slot) return
+        val passed = if (slot == Long.MIN_VALUE) SLOTS.toLong() else minOf(current - slot, SLOTS.toLong())
+        for (age in 0 until passed) {
+            val stale = Math.floorMod(current - age, SLOTS)
+            admitted[stale] = 0
+            retried[stale] = 0
+        }
+        slot = current
+    }
+
+    private companion object {
+        const val SLOTS = 10
+
+        /** Ten deposits of 0.1 add up to slightly less than 1. */
+        const val ROUNDING = 1e-9
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
@@ -0,0 +1,106 @@
+package oriolespindle.core.retry
+
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.outcome.RetryReason
+import oriolespindle.core.outcome.UnknownReason
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+
+/**
+ * Decides whether a failed attempt is followed by another one or by the final answer.
+ *
+ * A request is sent again only if it cannot have run or is idempotent, if the other attempt can finish by the deadline,
+ * and if the budgets of its team and its service both allow it. The final answer is "not run" only if no attempt can
+ * have run, and unknown otherwise. This is the only layer that retries.
+ *
+ * [jitter] returns a number from 0 up to 1 and spreads waits, so that callers do not come back together.
+ */
+public class RetryPolicy(
+    private val settings: RetrySettings = RetrySettings(),
+    private val jitter: () -> Double = { 0.5 },
+) {
+    private val teams = HashMap<TeamId, RetryBudget>()
+    private val services = HashMap<ServiceId, RetryBudget>()
+
+    /** Counts a request that was admitted, which adds to both budgets; a retry is not counted here. */
+    public fun admitted(
+        now: Timestamp,
+        team: TeamId,
+        service: ServiceId,
+    ) {
+        budget(team).admitted(now)
+        budget(service).admitted(now)
+    }
+
+    /** Returns what follows [failure], and takes a retry from both budgets when it is [RetryDecision.Retry]. */
+    public fun decide(
+        now: Timestamp,
+        failure: AttemptFailure,
+    ): RetryDecision {
+        if (failure.mayHaveRun && !failure.idempotent) return answer(failure, RefusalReason.NO_ENDPOINT)
+        val after = backoff(failure)
+        val team = budget(failure.team)
+        val service = budget(failure.service)
+        return when {
+            failure.attempt.value >= settings.maxAttempts -> {
+                answer(failure, if (failure.saidNotRun) RefusalReason.ENDPOINT_REFUSED else RefusalReason.NO_ENDPOINT)
+            }
+
+            now + after + failure.expected > failure.deadline -> {
+                answer(failure, RefusalReason.DEADLINE_UNREACHABLE)
+            }
+
+            !team.allows(now) || !service.allows(now) -> {
+                answer(failure, RefusalReason.RETRY_BUDGET_EXHAUSTED)
+            }
+
+            else -> {
+                team.spend(now)
+                service.spend(now)
+                RetryDecision.Retry(failure.reason, after)
+            }
+        }
+    }
+
+    private fun backoff(failure: AttemptFailure): Duration {
+        val earlierRetries = failure.attempt.value - 1
+        if (earlierRetries == 0) return Duration.ZERO
+        val longest = settings.firstBackoff * (1 shl minOf(earlierRetries - 1, MAX_DOUBLINGS))
+        return longest * (0.5 + jitter() / 2)
+    }
+
+    private fun answer(
+        failure: AttemptFailure,
+        reason: RefusalReason,
+    ): RetryDecision =
+        RetryDecision.Answer(
+            if (failure.mayHaveRun) {
+                CallOutcome.Unknown(unknownReason(failure.reason), "an attempt failed with ${failure.reason.code}")
+            } else {
+                CallOutcome.NotRun(reason, "gave up after ${failure.reason.code}", retryAfter(failure))
+            },
+        )
+
+    private fun retryAfter(failure: AttemptFailure): Duration {
+        val least = settings.retryAfter * (1 + jitter())
+        return maxOf(least, failure.endpointRetryAfter ?: Duration.ZERO)
+    }
+
+    private fun unknownReason(reason: RetryReason): UnknownReason =
+        when (reason) {
+            RetryReason.TRUNCATED_ANSWER -> UnknownReason.TRUNCATED_ANSWER
+            RetryReason.STAGE_LOST, RetryReason.TOKEN_GAP, RetryReason.LINK_DEGRADED -> UnknownReason.STREAM_LOST
+            else -> UnknownReason.ENDPOINT_LOST
+        }
+
+    private fun budget(team: TeamId) = teams.getOrPut(team) { RetryBudget(settings) }
+
+    private fun budget(service: ServiceId) = services.getOrPut(service) { RetryBudget(settings) }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 10
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetrySettings.kt
@@ -0,0 +1,29 @@
+package oriolespindle.core.retry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of [RetryPolicy].
+ *
+ * [ratio] bounds the retries of a team, and those to a service, as a part of the requests that were admitted during
+ * [window]. The budget follows from past load, so that 0.08 keeps retries within 10% of the load of an outage while the
+ * load falls by up to a sixth; with 0.1, chance alone brought them to 10.5%. A window of 10 s lets one failed
+ * endpoint's requests be retried together without saving up for an outage.
+ * [maxAttempts] counts the first attempt. The second attempt starts at once, since it goes to another endpoint; later
+ * ones wait for [firstBackoff], doubled each time. [retryAfter] is what a caller is told to wait at least.
+ */
+public data class RetrySettings(
+    public val ratio: Double = 0.08,
+    public val window: Duration = 10.seconds,
+    public val maxAttempts: Int = 3,
+    public val firstBackoff: Duration = 20.milliseconds,
+    public val retryAfter: Duration = 1.seconds,
+) {
+    init {
+        require(ratio in 0.0..1.0) { "ratio is $ratio, must be from 0 to 1" }
+        require(window >= 1.seconds) { "window is $window, must be at least 1 s" }
+        require(maxAttempts >= 1) { "maxAttempts is $maxAttempts, must be at least 1" }
+    }
+}
