--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/Fleets.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/Fleets.kt
@@ -43,26 +43,32 @@
         keep = keep,
     )
 
-/** A fleet of endpoints with ranges of several widths, rates that differ 8 times and links that differ 100 times. */
+/**
+ * A fleet of endpoints of three accelerator kinds that differ 8 times, with ranges of several [widths].
+ *
+ * Ranges of different widths overlap. Links are fast, or differ 100 times if [slowLinks] is set.
+ */
 internal fun mixedFleet(
     random: RandomGenerator,
     endpoints: Int,
     widths: List<Int>,
+    slowLinks: Boolean = true,
 ): Topology {
     val specs =
         List(endpoints) { i ->
             val width = widths[i % widths.size]
-            val slots = MODEL.layers / width
-            val first = (i / widths.size) % slots * width
-            val rate = 50.0 * (1 shl random.nextInt(4)) * width / 80.0 * 4
-            endpoint("e$i", first, first + width, rate, zone = "z${i % 3 + 1}")
+            val first = i / widths.size % (MODEL.layers / width) * width
+            val layersPerSecond = LAYERS_PER_SECOND[random.nextInt(LAYERS_PER_SECOND.size)]
+            endpoint("e$i", first, first + width, layersPerSecond / width, zone = "z${i % 3 + 1}")
         }
+    if (!slowLinks) return topology(specs)
     val links =
         specs.flatMap { from ->
             specs
-                .filter { it.id != from.id && it.layers.first <= from.layers.end && from.layers.end < it.layers.end }
-                .filter { random.nextInt(4) == 0 }
+                .filter { it.layers.first <= from.layers.end && from.layers.end < it.layers.end }
                 .map { LinkSpec(from.id, it.id, 10.0 * (1 + random.nextInt(100)), 500.microseconds) }
         }
     return topology(specs, links)
 }
+
+private val LAYERS_PER_SECOND = listOf(8_000.0, 4_000.0, 1_000.0)
