Add membership with heartbeats, suspicion and bounded gossip

Cause: instances must see each other without a coordination service at 4 KB/s each. Ruled out: passing on every record of the platform's list (330 instances: a killed instance was unknown as dead to 5 of 329 after 30 s because 330 records filled every message); suspicion at the first missed heartbeat (false deaths with 10% of messages lost); two incarnations for one start, listed and heard (instances declared dead twice). Change: Membership, suspicion at the second miss, suspects probed directly, records of lists not passed on, detection of the own pause, random targets by zone. Conclusion: traffic does not grow with the fleet, because the number of messages and of records in each is bounded.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/membership/Membership.kt
@@ -0,0 +1,274 @@
+package oriolespindle.core.membership
+
+import oriolespindle.core.config.Revision
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.time.Timestamp
+import java.util.random.RandomGenerator
+
+/**
+ * Which instances exist and answer, from this instance's own heartbeats, its peers and the platform's list.
+ *
+ * An instance that misses a heartbeat is suspected first and dead only when it does not refute the suspicion by a
+ * higher incarnation. The platform's list adds instances and is the only source of [MemberState.GONE]. Each message
+ * carries a bounded number of records, and the number of messages does not depend on the size of the fleet.
+ */
+public class Membership(
+    self: MemberRecord,
+    private val settings: MembershipSettings = MembershipSettings(),
+    private val random: RandomGenerator,
+) {
+    private class Probe(
+        val to: InstanceId,
+        val deadline: Timestamp,
+    )
+
+    private val table = MemberTable()
+    private val rumors = RumorQueue(settings)
+    private val schedule = ProbeSchedule(self, settings, random)
+    private val probes = LinkedHashMap<Long, Probe>()
+    private val missedOnce = HashSet<InstanceId>()
+    private var nextProbe: Timestamp? = null
+    private var nextDeadProbe = Timestamp.ZERO
+    private var sequence = 0L
+    private var platformVersion = Long.MIN_VALUE
+    private var revision = Revision.NONE
+    private var contentHash = 0L
+    private var joined = false
+
+    /** The record of this instance. */
+    public var self: MemberRecord = self
+        private set
+
+    /** Applies [event] and returns what to do. */
+    public fun handle(
+        now: Timestamp,
+        event: MembershipEvent,
+    ): List<MembershipAction> {
+        val actions = ArrayList<MembershipAction>()
+        begin(now, actions)
+        when (event) {
+            MembershipEvent.Tick -> tick(now, actions)
+            is MembershipEvent.PingReceived -> ping(now, event.gossip, actions)
+            is MembershipEvent.AckReceived -> ack(now, event.gossip, actions)
+            is MembershipEvent.PlatformList -> platformList(now, event, actions)
+            is MembershipEvent.Contact -> merge(now, event.record, actions)
+            is MembershipEvent.Configured -> configured(event)
+            MembershipEvent.Leave -> raiseIncarnation(self.incarnation, MemberState.LEAVING)
+        }
+        return actions
+    }
+
+    /** Returns this instance and every instance that is not known to be terminated, in the order of their names. */
+    @Suppress("UNUSED_PARAMETER")
+    public fun members(now: Timestamp): List<Member> {
+        val others = table.members().filter { it.record.state != MemberState.GONE }
+        return (others + Member(self, now)).sortedBy { it.id }
+    }
+
+    /** Returns up to [ownZone] and [otherZones] random reachable instances to pass a change on to. */
+    public fun targets(
+        ownZone: Int,
+        otherZones: Int,
+    ): List<MemberRecord> = schedule.targets(table, ownZone, otherZones)
+
+    /** Returns when [MembershipEvent.Tick] is due; it is due at once before the first event. */
+    public fun nextTimer(): Timestamp {
+        val probe = nextProbe ?: return Timestamp(Long.MIN_VALUE)
+        val ack = probes.values.firstOrNull()?.deadline ?: probe
+        val suspicion = table.earliestSuspicion()?.plus(settings.suspicionTimeout) ?: probe
+        return minOf(probe, ack, suspicion)
+    }
+
+    private fun begin(
+        now: Timestamp,
+        actions: MutableList<MembershipAction>,
+    ) {
+        if (nextProbe == null) {
+            nextProbe = now + settings.interval * random.nextDouble()
+            nextDeadProbe = now + settings.deadProbeInterval
+            return
+        }
+        val late = now - nextTimer()
+        if (late <= settings.pauseLimit) return
+        probes.clear()
+        table.extendSuspicions(late)
+        nextProbe = now
+        raiseIncarnation(self.incarnation, self.state)
+        actions += MembershipAction.Paused(late)
+    }
+
+    private fun tick(
+        now: Timestamp,
+        actions: MutableList<MembershipAction>,
+    ) {
+        expireProbes(now, actions)
+        expireSuspicions(now, actions)
+        if (now < checkNotNull(nextProbe)) return
+        nextProbe = now + settings.interval
+        val round = schedule.next(table)
+        round.forEach { probe(now, it, actions) }
+        schedule.suspect(table, round)?.let { probe(now, it, actions) }
+        if (now >= nextDeadProbe) {
+            nextDeadProbe = now + settings.deadProbeInterval
+            schedule.dead(table)?.let { probe(now, it, actions) }
+            forgetOld(now)
+        }
+    }
+
+    private fun probe(
+        now: Timestamp,
+        to: MemberRecord,
+        actions: MutableList<MembershipAction>,
+    ) {
+        sequence++
+        if (to.state < MemberState.SUSPECT) probes[sequence] = Probe(to.id, now + settings.ackTimeout)
+        actions += MembershipAction.SendPing(to, gossip(to.id, sequence).copy(wantAll = !joined))
+    }
+
+    private fun expireProbes(
+        now: Timestamp,
+        actions: MutableList<MembershipAction>,
+    ) {
+        val missed = probes.filterValues { it.deadline <= now }
+        missed.keys.forEach { probes.remove(it) }
+        missed.values
+            .mapNotNull { table.get(it.to) }
+            .filter { it.state < MemberState.SUSPECT }
+            .forEach { miss(now, it, actions) }
+    }
+
+    /** One lost message is not a failure; the instance is probed again at once and suspected at the second miss. */
+    private fun miss(
+        now: Timestamp,
+        record: MemberRecord,
+        actions: MutableList<MembershipAction>,
+    ) {
+        if (missedOnce.add(record.id)) {
+            probe(now, record, actions)
+            return
+        }
+        missedOnce.remove(record.id)
+        merge(now, record.copy(state = MemberState.SUSPECT), actions)
+    }
+
+    private fun expireSuspicions(
+        now: Timestamp,
+        actions: MutableList<MembershipAction>,
+    ) {
+        table
+            .inStateSince(MemberState.SUSPECT, now - settings.suspicionTimeout)
+            .forEach { merge(now, it.copy(state = MemberState.DEAD), actions) }
+    }
+
+    private fun ping(
+        now: Timestamp,
+        gossip: Gossip,
+        actions: MutableList<MembershipAction>,
+    ) {
+        receive(now, gossip, actions)
+        val answer = gossip(gossip.sender.id, gossip.sequence)
+        val records = if (gossip.wantAll) table.all() else answer.records
+        actions += MembershipAction.SendAck(gossip.sender, answer.copy(records = records))
+    }
+
+    private fun ack(
+        now: Timestamp,
+        gossip: Gossip,
+        actions: MutableList<MembershipAction>,
+    ) {
+        if (probes[gossip.sequence]?.to == gossip.sender.id) probes.remove(gossip.sequence)
+        missedOnce.remove(gossip.sender.id)
+        joined = true
+        receive(now, gossip, actions)
+    }
+
+    private fun receive(
+        now: Timestamp,
+        gossip: Gossip,
+        actions: MutableList<MembershipAction>,
+    ) {
+        merge(now, gossip.sender, actions)
+        table.heard(now, gossip.sender.id)
+        val all = gossip.records.size > settings.recordsPerMessage
+        gossip.records.forEach { merge(now, it, actions, passOn = !all) }
+        actions += MembershipAction.Reported(gossip.sender.id, gossip.revision, gossip.contentHash)
+    }
+
+    private fun platformList(
+        now: Timestamp,
+        event: MembershipEvent.PlatformList,
+        actions: MutableList<MembershipAction>,
+    ) {
+        if (event.version <= platformVersion) return
+        platformVersion = event.version
+        event.entries
+            .filter { it.state == MemberState.GONE || table.get(it.id) == null }
+            .forEach { merge(now, it.copy(incarnation = 0), actions, passOn = false) }
+    }
+
+    /**
+     * Keeps [record] if it is newer, and passes it on if it is news to others.
+     *
+     * Records from the platform's list or from a full answer are not passed on: every instance receives those itself,
+     * and passing on a fleet of 330 would delay news of a failure by minutes.
+     */
+    private fun merge(
+        now: Timestamp,
+        record: MemberRecord,
+        actions: MutableList<MembershipAction>,
+        passOn: Boolean = true,
+    ) {
+        if (record.id == self.id) {
+            refute(record, actions)
+            return
+        }
+        val before = table.get(record.id)
+        if (!table.merge(now, record)) return
+        if (passOn) rumors.add(record)
+        if (before?.state != record.state) actions += MembershipAction.Changed(before, record)
+    }
+
+    private fun refute(
+        record: MemberRecord,
+        actions: MutableList<MembershipAction>,
+    ) {
+        if (record.state == MemberState.GONE) {
+            actions += MembershipAction.DeclaredGone
+            return
+        }
+        if (record.state >= MemberState.SUSPECT && record.incarnation >= self.incarnation) {
+            raiseIncarnation(record.incarnation, self.state)
+        }
+    }
+
+    private fun raiseIncarnation(
+        above: Long,
+        state: MemberState,
+    ) {
+        self = self.copy(incarnation = above + 1, state = state)
+        rumors.add(self)
+    }
+
+    private fun configured(event: MembershipEvent.Configured) {
+        revision = event.revision
+        contentHash = event.contentHash
+    }
+
+    /** A peer that is not seen as alive is told so, because only it can refute that. */
+    private fun gossip(
+        to: InstanceId,
+        sequence: Long,
+    ): Gossip {
+        val about = table.get(to)?.takeIf { it.state >= MemberState.SUSPECT }
+        return Gossip(self, sequence, revision, contentHash, rumors.take(to, table.size + 1, about))
+    }
+
+    private fun forgetOld(now: Timestamp) {
+        val limit = now - settings.forgetDeadAfter
+        val old = table.inStateSince(MemberState.DEAD, limit) + table.inStateSince(MemberState.GONE, limit)
+        old.forEach {
+            table.forget(it.id)
+            rumors.remove(it.id)
+        }
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/membership/ProbeSchedule.kt
@@ -0,0 +1,81 @@
+package oriolespindle.core.membership
+
+import oriolespindle.core.id.InstanceId
+import java.util.random.RandomGenerator
+
+/**
+ * The order in which instances are probed.
+ *
+ * Each round visits every instance once in a new random order, so that the time until a failed instance is probed is
+ * bounded. Instances of the own zone and of other zones have separate rounds.
+ */
+internal class ProbeSchedule(
+    private val self: MemberRecord,
+    private val settings: MembershipSettings,
+    private val random: RandomGenerator,
+) {
+    private val ownRound = ArrayDeque<InstanceId>()
+    private val otherRound = ArrayDeque<InstanceId>()
+
+    /** Returns the instances to probe now; a round without candidates gives its turns to the other one. */
+    fun next(table: MemberTable): List<MemberRecord> {
+        val candidates = table.all().filter { it.state <= MemberState.SUSPECT }
+        val (own, others) = candidates.partition { it.zone == self.zone }
+        val all = settings.ownZoneProbes + settings.otherZoneProbes
+        val ownCount = if (others.isEmpty()) all else settings.ownZoneProbes
+        val otherCount = if (own.isEmpty()) all else settings.otherZoneProbes
+        return take(ownRound, own, ownCount) + take(otherRound, others, otherCount)
+    }
+
+    /** Returns one suspect outside [round], so that it learns of the suspicion in time to refute it. */
+    fun suspect(
+        table: MemberTable,
+        round: List<MemberRecord>,
+    ): MemberRecord? = sample(table.all().filter { it.state == MemberState.SUSPECT } - round.toSet(), 1).firstOrNull()
+
+    /** Returns a dead instance to try again, or null when there is none. */
+    fun dead(table: MemberTable): MemberRecord? =
+        sample(table.all().filter { it.state == MemberState.DEAD }, 1).firstOrNull()
+
+    /** Returns up to [own] and [others] random reachable instances of the own zone and of other zones. */
+    fun targets(
+        table: MemberTable,
+        own: Int,
+        others: Int,
+    ): List<MemberRecord> {
+        val (near, far) = table.all().filter { it.state <= MemberState.LEAVING }.partition { it.zone == self.zone }
+        return sample(near, own) + sample(far, others)
+    }
+
+    private fun take(
+        round: ArrayDeque<InstanceId>,
+        candidates: List<MemberRecord>,
+        count: Int,
+    ): List<MemberRecord> {
+        val byId = candidates.associateBy { it.id }
+        val chosen = LinkedHashMap<InstanceId, MemberRecord>()
+        while (chosen.size < minOf(count, candidates.size)) {
+            if (round.isEmpty()) round += shuffled(candidates.map { it.id })
+            val id = round.removeFirst()
+            byId[id]?.let { chosen[id] = it }
+        }
+        return chosen.values.toList()
+    }
+
+    private fun sample(
+        candidates: List<MemberRecord>,
+        count: Int,
+    ): List<MemberRecord> {
+        val pool = candidates.toMutableList()
+        return List(minOf(count, pool.size)) { pool.removeAt(random.nextInt(pool.size)) }
+    }
+
+    private fun shuffled(ids: List<InstanceId>): List<InstanceId> {
+        val result = ids.toMutableList()
+        for (last in result.lastIndex downTo 1) {
+            val other = random.nextInt(last + 1)
+            result[last] = result[other].also { result[other] = result[last] }
+        }
+        return result
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/membership/MembershipFleet.kt
@@ -0,0 +1,183 @@
+package oriolespindle.core.membership
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.time.Timestamp
+import java.util.PriorityQueue
+import java.util.SplittableRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+
+/** Any number of membership machines in one process, in virtual time, that exchange messages over a lossy network. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class MembershipFleet(
+    seed: Long,
+    private val zones: Int,
+    private val loss: Double = 0.0,
+) {
+    class Node(
+        val record: MemberRecord,
+        val machine: Membership,
+    ) {
+        var sentBytes = 0L
+        var receivedBytes = 0L
+        var events = 0L
+        val actions = ArrayList<Pair<Timestamp, MembershipAction>>()
+        var frozenUntil: Timestamp? = null
+    }
+
+    private class Step(
+        val at: Timestamp,
+        val order: Long,
+        val run: () -> Unit,
+    )
+
+    private val cbor = Cbor { useDefiniteLengthEncoding = true }
+    private val random = SplittableRandom(seed)
+    private val steps = PriorityQueue<Step>(compareBy<Step> { it.at }.thenBy { it.order })
+    private var order = 0L
+    private var platformVersion = 0L
+    private var names = 0
+
+    val nodes = LinkedHashMap<InstanceId, Node>()
+    val gone = ArrayList<MemberRecord>()
+
+    /** Says whether a message between two instances arrives. */
+    var connected: (MemberRecord, MemberRecord) -> Boolean = { _, _ -> true }
+    var now = Timestamp.ZERO
+        private set
+
+    fun start(count: Int): List<Node> =
+        List(count) {
+            val number = names++
+            val record =
+                MemberRecord(
+                    id = InstanceId("router-%04d".format(number)),
+                    zone = ZoneId("zone-${number % zones}"),
+                    address = "10.${number % zones}.${number / 250}.${number % 250}:7400",
+                )
+            val node = Node(record, Membership(record, MembershipSettings(), random.split()))
+            nodes[record.id] = node
+            timer(node)
+            node
+        }
+
+    fun kill(node: Node) {
+        nodes.remove(node.record.id)
+        gone += node.record.copy(state = MemberState.GONE)
+    }
+
+    /** Delivers the platform's list to [receivers]. */
+    fun list(receivers: Collection<Node> = nodes.values) {
+        val entries = nodes.values.map { it.record } + gone
+        platformVersion++
+        receivers.forEach { deliver(it, MembershipEvent.PlatformList(platformVersion, entries)) }
+    }
+
+    fun run(duration: Duration) {
+        val end = now + duration
+        while (steps.isNotEmpty() && steps.peek().at <= end) {
+            val step = steps.poll()
+            now = maxOf(now, step.at)
+            step.run()
+        }
+        now = end
+    }
+
+    /** The states that [node] sees, by the name of the instance. */
+    fun view(node: Node): Map<InstanceId, MemberState> =
+        node.machine.members(now).associate { it.id to it.record.state }
+
+    fun allSeeAllAlive(): Boolean =
+        nodes.values.all { node ->
+            view(node).filterKeys { it in nodes }.run { size == nodes.size && values.all { it == MemberState.ALIVE } }
+        }
+
+    private fun schedule(
+        at: Timestamp,
+        run: () -> Unit,
+    ) {
+        steps += Step(at, order++, run)
+    }
+
+    private fun timer(node: Node) {
+        val due = maxOf(node.machine.nextTimer(), now, node.frozenUntil ?: now)
+        schedule(due) {
+            if (nodes[node.record.id] !== node) return@schedule
+            if (node.machine.nextTimer() <= now) deliver(node, MembershipEvent.Tick)
+            timer(node)
+        }
+    }
+
+    private fun frozen(node: Node): Boolean = node.frozenUntil?.let { it > now } ?: false
+
+    private fun deliver(
+        node: Node,
+        event: MembershipEvent,
+    ) {
+        if (nodes[node.record.id] !== node) return
+        if (frozen(node)) {
+            if (event != MembershipEvent.Tick) schedule(checkNotNull(node.frozenUntil)) { deliver(node, event) }
+            return
+        }
+        node.events++
+        node.machine.handle(now, event).forEach { perform(node, it) }
+    }
+
+    private fun perform(
+        node: Node,
+        action: MembershipAction,
+    ) {
+        when (action) {
+            is MembershipAction.SendPing -> {
+                send(
+                    node,
+                    action.to,
+                    action.gossip,
+                    MembershipEvent.PingReceived(action.gossip),
+                )
+            }
+
+            is MembershipAction.SendAck -> {
+                send(
+                    node,
+                    action.to,
+                    action.gossip,
+                    MembershipEvent.AckReceived(action.gossip),
+                )
+            }
+
+            is MembershipAction.Reported -> {
+                Unit
+            }
+
+            else -> {
+                node.actions += now to action
+            }
+        }
+    }
+
+    private fun send(
+        from: Node,
+        to: MemberRecord,
+        gossip: Gossip,
+        event: MembershipEvent,
+    ) {
+        val bytes = cbor.encodeToByteArray(gossip).size + FRAME_BYTES
+        from.sentBytes += bytes
+        val target = nodes[to.id] ?: return
+        if (!connected(from.record, to) || random.nextDouble() < loss) return
+        schedule(now + 500.microseconds) {
+            target.receivedBytes += bytes
+            deliver(target, event)
+        }
+    }
+
+    private companion object {
+        /** The length of a frame, and the array and the name of the message type around its content. */
+        const val FRAME_BYTES = 4 + 8
+    }
+}
