Retry calls and streams, follow endpoint states, shut down without cutting off requests

Cause: an endpoint that refuses, leaves or breaks must not end a request that another endpoint can serve, and SIGTERM must not end requests in flight. Ruled out: ending the process after a fixed grace time, since streams may last longer. Change: retries of plain calls and of streams from the last delivered token under the retry policy; endpoint states from the platform's list, load answers, drains and failed polls; the shutdown machine fed by connections and claimed calls.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -5,15 +5,19 @@
 import kotlinx.serialization.json.JsonObject
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.contract.KeyDigest
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.lifecycle.ShutdownAction
+import oriolespindle.core.lifecycle.ShutdownSettings
 import oriolespindle.router.administration.AdministrationApi
 import oriolespindle.router.administration.ObjectApi
 import oriolespindle.router.administration.OperatorValue
 import oriolespindle.router.administration.Operators
 import oriolespindle.router.administration.StatusReport
 import oriolespindle.router.endpoint.LoadPoller
-import oriolespindle.router.http.Address
+import oriolespindle.router.http.ConnectionObserver
 import oriolespindle.router.http.HttpClient
 import oriolespindle.router.http.HttpServer
+import oriolespindle.router.lifecycle.ShutdownCoordinator
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.metrics.Metrics
 import oriolespindle.router.platform.PlatformClient
@@ -31,21 +35,24 @@
 /** One instance of the router: its listeners, components and their connections. */
 internal class Router(
     private val settings: Settings,
+    private val onStopped: () -> Unit,
 ) {
     private val group = MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory())
+    private val random = RandomGenerator.of("L64X128MixRandom")
     private val metrics = Metrics()
     private val timers = TimerService()
     private val http = HttpClient(group)
     private val platform = PlatformClient(http, settings.platform, settings.platformTimeout, metrics::platformCall)
     private val planning = Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }
-    private val requests = RequestComponent(metrics, ::requestContext, ::modelRoutes)
+    private val requests = RequestComponent(metrics, random::nextDouble, ::requestContext, ::modelRoutes)
     private val poller =
         LoadPoller(http, settings.loadPollInterval * POLL_TIMEOUT_FACTOR) { endpoint, answer ->
             requests.load(RequestMessage.Load(endpoint, answer))
         }
     private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
-    private val state = StateComponent(platform, timers, self(), metrics, requests::changed, ::operatorsChanged)
-    private val callers = HttpServer(group, handler = requests::arrived)
+    private val state = StateComponent(platform, timers, self(), metrics, requests::changed, requests::listed, ::operatorsChanged)
+    private val shutdown = ShutdownCoordinator(shutdownSettings(), timers, ::perform)
+    private val callers = HttpServer(group, observer = CallerObserver(), handler = requests::arrived)
     private val administrationApi = AdministrationApi(metrics, operators, ObjectApi(state), ::isReady, ::status)
     private val administration = HttpServer(group, handler = administrationApi::handle)
 
@@ -79,7 +86,52 @@
         operators.replace(items.mapNotNull { item -> item.value?.let(OperatorValue::parseOrNull) })
     }
 
-    private fun isReady(): Boolean = state.revision > 0
+    private fun isReady(): Boolean = state.revision > 0 && shutdown.isReady
+
+    /** Ends the instance once every request in flight has its answer; `onStopped` is called then. */
+    fun shutDown() {
+        EventLog.info("shutdown requested", "instance" to settings.instance)
+        shutdown.request()
+    }
+
+    private fun perform(action: ShutdownAction) {
+        when (action) {
+            is ShutdownAction.ReportUnready -> {
+                callers.closing = true
+                platform.register(self().copy(state = "leaving")) { }
+            }
+
+            is ShutdownAction.StopAccepting -> {
+                callers.stopAccepting()
+            }
+
+            is ShutdownAction.CloseIdle -> {
+                callers.closeIdleConnections(action.idleFor)
+            }
+
+            is ShutdownAction.Exit -> {
+                EventLog.info("instance stopped", "instance" to settings.instance)
+                onStopped()
+            }
+        }
+    }
+
+    private fun shutdownSettings(): ShutdownSettings {
+        val usual = ShutdownSettings()
+        return ShutdownSettings(
+            unreadyFor = settings.drainGrace,
+            quietFor = minOf(settings.drainGrace, usual.quietFor),
+            acceptAtMost = maxOf(settings.drainGrace, usual.acceptAtMost),
+        )
+    }
+
+    private inner class CallerObserver : ConnectionObserver {
+        override fun opened() = shutdown.connectionOpened()
+
+        override fun started(request: RequestId) = shutdown.started(request)
+
+        override fun finished(request: RequestId) = shutdown.finished(request)
+    }
 
     private fun self(): PlatformInstance =
         PlatformInstance(
@@ -91,12 +143,22 @@
         )
 
     private fun requestContext(offer: (RequestMessage) -> Boolean): RequestContext =
-        RequestContext(settings.instance, settings.zone, http, platform, metrics, timers, offer)
+        RequestContext(
+            instance = settings.instance,
+            zone = settings.zone,
+            http = http,
+            platform = platform,
+            metrics = metrics,
+            timers = timers,
+            offer = offer,
+            workStarted = { shutdown.started(it) },
+            workFinished = { shutdown.finished(it) },
+        )
 
     private fun modelRoutes(context: RequestContext): ModelRoutes =
         ModelRoutes(
             instance = settings.instance,
-            random = RandomGenerator.of("L64X128MixRandom"),
+            random = random,
             planning = planning,
             post = context::continueWith,
             onPlanned = {},
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/endpoint/LoadPoller.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/endpoint/LoadPoller.kt
@@ -10,11 +10,11 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
-/** Reads the load of each engine; an engine whose last answer is still awaited is skipped. */
+/** Reads the load of each engine; a failed read reports null. An engine whose answer is awaited is skipped. */
 internal class LoadPoller(
     private val http: HttpClient,
     private val timeout: Duration,
-    private val onLoad: (EndpointId, LoadAnswer) -> Unit,
+    private val onLoad: (EndpointId, LoadAnswer?) -> Unit,
 ) {
     private val waiting = ConcurrentHashMap.newKeySet<EndpointId>()
 
@@ -29,12 +29,17 @@
                 is ClientEvent.Head -> Unit
                 is ClientEvent.Data -> body.writeBytes(event.bytes)
                 is ClientEvent.End -> answered(endpoint, body.toString(Charsets.UTF_8))
-                is ClientEvent.Failed -> waiting.remove(endpoint)
+                is ClientEvent.Failed -> failed(endpoint)
             }
             true
         }
     }
 
+    private fun failed(endpoint: EndpointId) {
+        waiting.remove(endpoint)
+        onLoad(endpoint, null)
+    }
+
     private fun answered(
         endpoint: EndpointId,
         text: String,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -30,15 +31,17 @@
     private val group: EventLoopGroup,
     private val settings: HttpServerSettings = HttpServerSettings(),
     private val tls: SslContext? = null,
+    private val observer: ConnectionObserver = ConnectionObserver.None,
     private val handler: (ServerExchange) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private var listener: Channel? = null
 
-    /** Set once the instance shuts down, so that answers ask callers to close their connections. */
+    private val connectionNumbers = AtomicLong()
+
+    /** Whether answers ask callers to close their connections. */
     @Volatile
     var closing: Boolean = false
-        private set
 
     val connectionCount: Int get() = connections.size
 
@@ -60,10 +63,9 @@
         return Address(address.host, bound.port)
     }
 
-    /** Closes idle connections and makes each busy connection close after its answer. */
-    fun closeIdleConnections() {
-        closing = true
-        connections.forEach { it.pipeline().fireUserEventTriggered(CloseWhenIdle) }
+    /** Closes the connections that have had no request in progress for [idleFor]. */
+    fun closeIdleConnections(idleFor: Duration) {
+        connections.forEach { it.pipeline().fireUserEventTriggered(CloseWhenIdle(idleFor)) }
     }
 
     /** Stops accepting connections. */
@@ -84,7 +86,7 @@
                     .setMaxInitialLineLength(MAX_INITIAL_LINE)
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
-                RequestTimeoutHandler(settings.requestTimeout, settings.idleTimeout),
+                timeouts(),
                 HttpServerCodec(config),
                 RequestAssembler(settings.maxBodyBytes),
                 ServerExchangeHandler({ closing }, handler),
@@ -92,6 +94,14 @@
         }
     }
 
+    private fun timeouts(): RequestTimeoutHandler =
+        RequestTimeoutHandler(
+            requestTimeout = settings.requestTimeout,
+            idleTimeout = settings.idleTimeout,
+            observer = observer,
+            connection = connectionNumbers.incrementAndGet(),
+        )
+
     private companion object {
         const val BACKLOG = 1024
         const val LOW_MARK = 16 * 1024
@@ -99,6 +109,3 @@
         const val MAX_INITIAL_LINE = 8 * 1024
     }
 }
-
-/** Asks a connection to close as soon as it has no request in progress. */
-internal data object CloseWhenIdle
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
@@ -3,19 +3,48 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.util.concurrent.ScheduledFuture
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.runtime.monotonicNow
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** Closes connections that send a request too slowly or stay idle too long. */
+/** Learns of the connections and requests of a listener; it is called on event loop threads. */
+internal interface ConnectionObserver {
+    fun opened() = Unit
+
+    /** The first byte of a request has arrived. */
+    fun started(request: RequestId) = Unit
+
+    /** The answer was written, or the connection closed. */
+    fun finished(request: RequestId) = Unit
+
+    /** Observes nothing. */
+    object None : ConnectionObserver
+}
+
+/** Asks a connection to close if it has had no request in progress for [idleFor]. */
+internal data class CloseWhenIdle(
+    val idleFor: Duration,
+)
+
+/** Closes connections that send a request too slowly or stay idle too long, and tells [observer] about requests. */
 internal class RequestTimeoutHandler(
     private val requestTimeout: Duration,
     private val idleTimeout: Duration,
+    private val observer: ConnectionObserver,
+    private val connection: Long,
 ) : ChannelInboundHandlerAdapter() {
+    private enum class Phase { IDLE, RECEIVING, BUSY }
+
     private var timeout: ScheduledFuture<*>? = null
-    private var receiving = false
-    private var busy = false
+    private var phase = Phase.IDLE
+    private var idleSince = Timestamp.ZERO
+    private var requests = 0
 
     override fun channelActive(ctx: ChannelHandlerContext) {
+        observer.opened()
+        idleSince = monotonicNow()
         schedule(ctx, idleTimeout)
         ctx.fireChannelActive()
     }
@@ -24,30 +53,44 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        if (!receiving && !busy) {
-            receiving = true
+        if (phase == Phase.IDLE) {
+            phase = Phase.RECEIVING
+            requests++
+            observer.started(requestId())
             schedule(ctx, requestTimeout)
         }
         ctx.fireChannelRead(message)
     }
 
     fun requestReceived() {
-        receiving = false
-        busy = true
+        phase = Phase.BUSY
         timeout?.cancel(false)
     }
 
     fun connectionIdle(ctx: ChannelHandlerContext) {
-        receiving = false
-        busy = false
+        if (phase != Phase.IDLE) observer.finished(requestId())
+        phase = Phase.IDLE
+        idleSince = monotonicNow()
         schedule(ctx, idleTimeout)
     }
 
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is CloseWhenIdle && phase == Phase.IDLE && monotonicNow() - idleSince >= event.idleFor) ctx.close()
+        ctx.fireUserEventTriggered(event)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         timeout?.cancel(false)
+        if (phase != Phase.IDLE) observer.finished(requestId())
+        phase = Phase.IDLE
         ctx.fireChannelInactive()
     }
 
+    private fun requestId() = RequestId("connection-$connection-$requests")
+
     private fun schedule(
         ctx: ChannelHandlerContext,
         delay: Duration,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -166,8 +166,6 @@
         next = null
         if (request != null) {
             begin(ctx, request)
-        } else if (closing()) {
-            ctx.close()
         } else {
             idle(ctx)
         }
@@ -185,14 +183,6 @@
         ctx.fireChannelWritabilityChanged()
     }
 
-    override fun userEventTriggered(
-        ctx: ChannelHandlerContext,
-        event: Any,
-    ) {
-        if (event is CloseWhenIdle && current == null) ctx.close()
-        ctx.fireUserEventTriggered(event)
-    }
-
     override fun channelInactive(ctx: ChannelHandlerContext) {
         current?.connectionClosed()
         current = null
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ClaimedCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ClaimedCall.kt
@@ -9,6 +9,7 @@
 import oriolespindle.core.claim.ClaimVersion
 import oriolespindle.core.claim.StoredClaim
 import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.id.RequestId
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.directory.ServiceEndpoint
@@ -23,20 +24,26 @@
     private val sender: ServiceSender,
     private val machine: ClaimCall,
     private val call: ServiceCall,
+    private val work: RequestId,
     private val deadline: Timestamp,
     private val servers: () -> List<ServiceEndpoint>,
     private val answer: (ClaimOutcome) -> Unit,
 ) {
-    /** Whether the call needs no further event. */
-    val finished: Boolean get() = machine.finished
+    private var workEnded = false
 
+    /** Starts the call; the instance stays until the outcome is stored, which may be after the caller's answer. */
     fun start() {
+        context.workStarted(work)
         handle(ClaimEvent.Start)
         context.continueAfter(deadline - context.now()) { handle(ClaimEvent.DeadlinePassed) }
     }
 
     fun handle(event: ClaimEvent) {
         machine.handle(context.now(), event).forEach(::perform)
+        if (machine.finished && !workEnded) {
+            workEnded = true
+            context.workFinished(work)
+        }
     }
 
     private fun perform(action: ClaimAction) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -11,28 +11,34 @@
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.retry.RetryPolicy
 import oriolespindle.router.endpoint.LoadPoller
 import oriolespindle.router.http.Address
 import oriolespindle.router.http.ServerExchange
 import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.platform.PlatformInstanceList
 import oriolespindle.router.runtime.Component
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Handles callers' requests from arrival to answer, on one thread. */
 internal class RequestComponent(
     private val metrics: Metrics,
+    jitter: () -> Double,
     createContext: (offer: (RequestMessage) -> Boolean) -> RequestContext,
     createRoutes: (RequestContext) -> ModelRoutes,
 ) {
     private val component = Component("requests", RING_CAPACITY, ::handle)
     private val context = createContext(component::offer)
     private val routes = createRoutes(context)
+    private val endpoints = EndpointStates(context.directory)
     private val sessions = HashMap<RequestId, CompletionSession>()
-    private val services = ServiceCalls(context, ServiceSender(context))
+    private val retries = RetryPolicy(jitter = jitter)
+    private val services = ServiceCalls(context, ServiceSender(context, endpoints), retries)
     private val api = CallerApi(context, ::completion, services::handle)
 
     fun start() {
         component.start()
+        context.timers.every(TICK) { component.offer(RequestMessage.Tick) }
         metrics.gauge("oriolespindle.ring.requests") { component.depth }
     }
 
@@ -44,6 +50,11 @@
         exchange.respond(Answers.notRun(null, outcome))
     }
 
+    /** Takes the platform's list; a full ring buffer drops it, since the next one follows. */
+    fun listed(list: PlatformInstanceList) {
+        component.offer(RequestMessage.Listed(list))
+    }
+
     /** Takes changed objects; false means that they must be offered again. */
     fun changed(items: List<StoredObject>): Boolean = component.offer(RequestMessage.Changed(items))
 
@@ -73,7 +84,8 @@
             is RequestMessage.Continue -> message.resume()
             is RequestMessage.Load -> report(message)
             is RequestMessage.Changed -> apply(message.items)
-            is RequestMessage.Tick -> Unit
+            is RequestMessage.Listed -> endpoints.listed(context.now(), message.list)
+            is RequestMessage.Tick -> tick()
         }
     }
 
@@ -85,7 +97,8 @@
             }
 
             is CompletionParse.Valid -> {
-                val session = CompletionSession(context, routes, caller, parsed.request) { sessions.remove(it.id) }
+                val session =
+                    CompletionSession(context, routes, endpoints, retries, caller, parsed.request) { sessions.remove(it.id) }
                 sessions[caller.id] = session
                 caller.exchange.onClosed = { context.post(RequestMessage.CallerGone(caller.id)) }
                 session.start()
@@ -95,9 +108,14 @@
 
     private fun report(message: RequestMessage.Load) {
         val now = context.now()
+        val answer = message.answer
+        if (answer == null) {
+            endpoints.pollFailed(message.endpoint)
+            return
+        }
+        endpoints.polled(now, message.endpoint, answer.state == "draining")
         val model = context.directory.engine(message.endpoint)?.model ?: return
         val selector = routes.selector(model) ?: return
-        val answer = message.answer
         selector.report(
             now,
             LoadReport(message.endpoint, now, answer.active, answer.queued, answer.tokensPerSecond),
@@ -110,7 +128,11 @@
     private fun apply(items: List<StoredObject>) {
         val models = HashSet<ModelId>()
         for (item in items) {
-            if (item.key.kind == ObjectKind.CONTRACT) applyContract(item) else models += context.directory.apply(item)
+            when (item.key.kind) {
+                ObjectKind.CONTRACT -> applyContract(item)
+                ObjectKind.DRAIN -> endpoints.drain(context.now(), item)
+                else -> models += context.directory.apply(item)
+            }
         }
         for (model in models) {
             val topology = context.directory.topology(model)
@@ -118,6 +140,14 @@
         }
     }
 
+    private fun tick() {
+        val now = context.now()
+        for ((endpoint, state) in endpoints.engines(now)) {
+            val model = context.directory.engine(endpoint)?.model ?: continue
+            routes.selector(model)?.availability(now, endpoint, state)
+        }
+    }
+
     private fun applyContract(item: StoredObject) {
         val team = TeamId(item.key.name)
         val value = item.value
@@ -131,6 +161,7 @@
 
     private companion object {
         const val RING_CAPACITY = 16_384
+        val TICK = 20.milliseconds
         val OVERLOAD_RETRY = 500.milliseconds
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
@@ -14,7 +14,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What the parts of the request component share; only its thread uses the mutable parts. */
+/**
+ * What the parts of the request component share; only its thread uses the mutable parts.
+ *
+ * Between [workStarted] and [workFinished] of the same name the instance does not shut down.
+ */
 internal class RequestContext(
     val instance: InstanceId,
     val zone: ZoneId,
@@ -23,6 +27,8 @@
     val metrics: Metrics,
     val timers: TimerService,
     val offer: (RequestMessage) -> Boolean,
+    val workStarted: (RequestId) -> Unit,
+    val workFinished: (RequestId) -> Unit,
 ) {
     val directory: Directory = Directory()
     val contracts: ContractBook = ContractBook()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestMessage.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestMessage.kt
@@ -7,6 +7,7 @@
 import oriolespindle.router.endpoint.EngineSignal
 import oriolespindle.router.endpoint.LoadAnswer
 import oriolespindle.router.http.ServerExchange
+import oriolespindle.router.platform.PlatformInstanceList
 
 /** What the request component handles. */
 internal sealed interface RequestMessage {
@@ -32,10 +33,15 @@
         val resume: () -> Unit,
     ) : RequestMessage
 
-    /** An endpoint answered a load request. */
+    /** An endpoint answered a load request, or failed to when [answer] is null. */
     data class Load(
         val endpoint: EndpointId,
-        val answer: LoadAnswer,
+        val answer: LoadAnswer?,
+    ) : RequestMessage
+
+    /** The platform's list of instances and endpoints was read. */
+    data class Listed(
+        val list: PlatformInstanceList,
     ) : RequestMessage
 
     /** Stored objects changed. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -12,7 +12,7 @@
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
-import oriolespindle.core.outcome.UnknownReason
+import oriolespindle.core.retry.RetryPolicy
 import oriolespindle.router.http.HttpAnswer
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -21,6 +21,7 @@
 internal class ServiceCalls(
     private val context: RequestContext,
     private val sender: ServiceSender,
+    private val retries: RetryPolicy,
 ) {
     fun handle(request: CallerRequest) {
         val rest = request.exchange.uri.removePrefix("/services/")
@@ -42,7 +43,7 @@
             }
 
             else -> {
-                sendOnce(request, service, uri)
+                sendDirectly(request, service, uri, idempotent = true)
             }
         }
     }
@@ -55,12 +56,11 @@
         val arrived = Clock.System.now()
         when (val decision = rules(request.contract).check(request.exchange.header("Idempotency-Key"), arrived)) {
             is KeyDecision.Refused -> {
-                context.metrics.refused(decision.outcome.reason)
-                request.exchange.respond(Answers.notRun(request.id, decision.outcome))
+                notRun(request, decision.outcome)
             }
 
             is KeyDecision.SendOnce -> {
-                sendOnce(request, service, uri)
+                sendDirectly(request, service, uri, idempotent = false)
             }
 
             is KeyDecision.Claim -> {
@@ -96,6 +96,7 @@
             sender = sender,
             machine = ClaimCall(context.instance, claim),
             call = ServiceCall.of(request, uri),
+            work = request.id,
             deadline = request.deadline,
             servers = { context.directory.servers(service) },
             answer = { outcome -> respond(request, outcome) },
@@ -103,33 +104,44 @@
     }
 
     /** Sends a call that the caller may repeat, or that its contract lets go out once without a key. */
-    private fun sendOnce(
+    private fun sendDirectly(
         request: CallerRequest,
         service: ServiceId,
         uri: String,
+        idempotent: Boolean,
     ) {
-        val server = sender.candidates(context.directory.servers(service)).firstOrNull()
-        if (server == null) {
-            refuse(request, RefusalReason.NO_ENDPOINT, "service '${service.value}' has no endpoint")
-            return
-        }
-        val timeout = (request.deadline - context.now()).coerceAtLeast(Duration.ZERO)
-        sender.send(ServiceCall.of(request, uri), server, SendLimits(timeout, freshConnection = false)) { result ->
-            when (result) {
-                is ServiceResult.Answered -> answered(request, result)
-                is ServiceResult.NotRun -> refuse(request, RefusalReason.ENDPOINT_REFUSED, "the endpoint refused")
-                is ServiceResult.NotSent -> refuse(request, RefusalReason.NO_ENDPOINT, "no endpoint was reached")
-                is ServiceResult.Lost -> unknown(request, lost(result))
-            }
+        IdempotentCall(
+            context = context,
+            sender = sender,
+            retries = retries,
+            caller = request,
+            service = service,
+            call = ServiceCall.of(request, uri),
+            idempotent = idempotent,
+            end = { end -> directlyEnded(request, end) },
+        ).start()
+    }
+
+    private fun directlyEnded(
+        request: CallerRequest,
+        end: CallEnd,
+    ) {
+        when (end) {
+            is CallEnd.Answered -> answered(request, end.answer)
+            is CallEnd.Failed -> failed(request, end.outcome)
         }
     }
 
-    private fun lost(result: ServiceResult.Lost): CallOutcome.Unknown =
-        if (result.timedOut) {
-            CallOutcome.Unknown(UnknownReason.DEADLINE_PASSED, "no answer came by the deadline")
-        } else {
-            CallOutcome.Unknown(UnknownReason.ENDPOINT_LOST, "the endpoint's answer was lost")
+    private fun failed(
+        request: CallerRequest,
+        outcome: CallOutcome,
+    ) {
+        when (outcome) {
+            is CallOutcome.NotRun -> notRun(request, outcome)
+            is CallOutcome.Unknown -> unknown(request, outcome)
+            is CallOutcome.Done -> error("a successful call has no failure")
         }
+    }
 
     private fun respond(
         request: CallerRequest,
@@ -142,8 +154,7 @@
             }
 
             is ClaimOutcome.NotRun -> {
-                context.metrics.refused(outcome.outcome.reason)
-                request.exchange.respond(Answers.notRun(request.id, outcome.outcome))
+                notRun(request, outcome.outcome)
             }
 
             is ClaimOutcome.Unknown -> {
@@ -183,8 +194,15 @@
         reason: RefusalReason,
         message: String,
     ) {
-        context.metrics.refused(reason)
-        request.exchange.respond(Answers.notRun(request.id, CallOutcome.NotRun(reason, message)))
+        notRun(request, CallOutcome.NotRun(reason, message))
+    }
+
+    private fun notRun(
+        request: CallerRequest,
+        outcome: CallOutcome.NotRun,
+    ) {
+        context.metrics.refused(outcome.reason)
+        request.exchange.respond(Answers.notRun(request.id, outcome))
     }
 
     private fun rules(contract: Contract): KeyRules =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
@@ -62,12 +62,15 @@
 /** Sends calls to endpoints of plain services; results arrive on the request component's thread. */
 internal class ServiceSender(
     private val context: RequestContext,
+    private val endpoints: EndpointStates,
 ) {
     private val inFlight = HashMap<EndpointId, Int>()
 
-    /** Returns [servers] with the fewest calls of this instance first, those of its own zone preferred. */
+    /** Returns those of [servers] that take new calls, the one with the fewest of this instance first. */
     fun candidates(servers: List<ServiceEndpoint>): List<ServiceEndpoint> =
-        servers.sortedWith(compareBy({ inFlight[it.id] ?: 0 }, { it.zone != context.zone }, { it.id }))
+        servers
+            .filter { endpoints.serves(context.now(), it.id) }
+            .sortedWith(compareBy({ inFlight[it.id] ?: 0 }, { it.zone != context.zone }, { it.id }))
 
     /** Sends [call] once; a non-idempotent call uses a new connection, which cannot be half closed already. */
     fun send(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -11,6 +11,8 @@
 import oriolespindle.router.metrics.Metrics
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.platform.PlatformInstance
+import oriolespindle.router.platform.PlatformInstanceList
+import oriolespindle.router.platform.PlatformResult
 import oriolespindle.router.runtime.Component
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
@@ -25,6 +27,7 @@
     private val self: PlatformInstance,
     metrics: Metrics,
     private val changed: (List<StoredObject>) -> Boolean,
+    private val listed: (PlatformInstanceList) -> Unit,
     private val operators: (List<StoredObject>) -> Unit,
 ) {
     private val component = Component("state", RING_CAPACITY, ::handle)
@@ -32,6 +35,8 @@
     private val sync = ConfigurationSync(platform, cache, ::post, ::publish)
     private val writer = ObjectWriter(platform, timers) { block -> post(StateMessage.Run(block)) }
     private val unpublished = ArrayDeque<List<StoredObject>>()
+    private var listing = false
+    private var listDue = Timestamp(Long.MIN_VALUE)
     private var registered = false
     private var registerDue = Timestamp(Long.MIN_VALUE)
 
@@ -73,7 +78,7 @@
         when (message) {
             is StateMessage.Listed -> sync.listed(now, message.result)
             is StateMessage.Watched -> sync.watched(now, message.watch, message.line)
-            is StateMessage.Instances -> Unit
+            is StateMessage.Instances -> instancesListed(message.result)
             is StateMessage.Run -> message.block()
             is StateMessage.Tick -> tick(now)
         }
@@ -83,12 +88,22 @@
     private fun tick(now: Timestamp) {
         flush()
         sync.tick(now)
+        if (!listing && now >= listDue) {
+            listing = true
+            listDue = now + LIST_INTERVAL
+            platform.instances { post(StateMessage.Instances(it)) }
+        }
         if (!registered && now >= registerDue) {
             registerDue = now + REGISTER_RETRY
             platform.register(self) { done -> if (done) registered = true }
         }
     }
 
+    private fun instancesListed(result: PlatformResult<PlatformInstanceList>) {
+        listing = false
+        if (result is PlatformResult.Ok) listed(result.value)
+    }
+
     private fun publish(changes: List<ObjectChange>) {
         if (changes.isEmpty()) return
         if (changes.any { it.key.kind == ObjectKind.OPERATOR }) operators(cache.live(ObjectKind.OPERATOR))
@@ -105,6 +120,7 @@
         const val RING_CAPACITY = 4_096
         val TICK: Duration = 50.milliseconds
         val RING_RETRY: Duration = 2.milliseconds
+        val LIST_INTERVAL: Duration = 1.seconds
         val REGISTER_RETRY: Duration = 1.seconds
     }
 }
