Add the lifecycle of endpoints and the shutdown of an instance

Cause: the platform's list, an endpoint's own answer and an operator's drain lag and contradict each other, and an endpoint that is leaving must receive no new work; an instance that ends must interrupt no request. Ruled out: taking the latest answer of each source. Change: EndpointLifecycle keeps leaving for the incarnation, ignores lists that are not newer and late answers of earlier incarnations, and starts joining endpoints slowly. Availability is the type of the chain package. A request that is on its way while its idle connection is closed is not modelled; its caller sees a closed connection.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/EndpointLifecycle.kt
@@ -0,0 +1,159 @@
+package oriolespindle.core.lifecycle
+
+import oriolespindle.core.chain.EndpointAvailability
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+
+/**
+ * Combines what the platform's list, the endpoint itself and the operators say about endpoints.
+ *
+ * Each source may lag behind or contradict the others, and leaving takes precedence. Once the list or the endpoint has
+ * said that it leaves, it leaves for the rest of its incarnation, whatever they say later. An operator's drain lasts
+ * until a newer version withdraws it. A list that is not newer than the last one is ignored.
+ *
+ * The endpoints of the first list are in use already and have full weight; later ones start slowly.
+ */
+public class EndpointLifecycle(
+    private val settings: LifecycleSettings = LifecycleSettings(),
+) {
+    private class Entry(
+        var joined: Timestamp?,
+    ) {
+        /** The list and the endpoint name incarnations independently of each other. */
+        var listIncarnation = ""
+        var ownIncarnation: String? = null
+        val ended = HashSet<String>()
+        var listed: PlatformState? = null
+        var leaving = false
+        var answered = false
+        var drainVersion = Long.MIN_VALUE
+        var drained = false
+        var goneAt: Timestamp? = null
+    }
+
+    private val entries = HashMap<EndpointId, Entry>()
+    private var listVersion = Long.MIN_VALUE
+
+    /** The endpoints that any source has named and that are not forgotten. */
+    public val endpoints: Set<EndpointId> get() = entries.keys.toSet()
+
+    /** Takes the platform's whole list at [version]; an endpoint that a newer list no longer contains is gone. */
+    public fun platformList(
+        now: Timestamp,
+        version: Long,
+        entries: List<PlatformEntry>,
+    ) {
+        if (version <= listVersion) return
+        val first = listVersion == Long.MIN_VALUE
+        listVersion = version
+        entries.forEach { listed(now, it, first) }
+        val names = entries.mapTo(HashSet()) { it.endpoint }
+        this.entries.forEach { (id, entry) -> if (id !in names && entry.listed != null) gone(now, entry) }
+        this.entries.values.removeIf { entry -> forgettable(now, entry) }
+    }
+
+    /**
+     * Takes the endpoint's own answer; [incarnation] is its start identifier when it reports one.
+     *
+     * A late answer of an earlier incarnation is ignored. Without an identifier, an answer that arrives after the list
+     * had the endpoint as gone may be such a late one, and is ignored until the list has the endpoint again.
+     */
+    public fun ownAnswer(
+        now: Timestamp,
+        endpoint: EndpointId,
+        draining: Boolean,
+        incarnation: String? = null,
+    ) {
+        val entry = entries.getOrPut(endpoint) { Entry(now) }
+        if (entry.listed == PlatformState.GONE || incarnation in entry.ended) return
+        val previous = entry.ownIncarnation
+        if (incarnation != null && previous != null && incarnation != previous) {
+            entry.ended += previous
+            rejoin(now, entry)
+            entry.leaving = entry.listed == PlatformState.LEAVING
+        }
+        entry.ownIncarnation = incarnation ?: previous
+        entry.answered = true
+        entry.leaving = entry.leaving || draining
+    }
+
+    /** Takes an operator's drain, or its withdrawal when [draining] is false; the highest [version] is in force. */
+    public fun operatorDrain(
+        now: Timestamp,
+        endpoint: EndpointId,
+        version: Long,
+        draining: Boolean,
+    ) {
+        val entry = entries.getOrPut(endpoint) { Entry(now) }
+        if (version <= entry.drainVersion) return
+        entry.drainVersion = version
+        if (entry.drained && !draining) entry.joined = now
+        entry.drained = draining
+    }
+
+    /** Returns whether [endpoint] may receive new work; one that no source has reported as running is down. */
+    public fun state(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ): EndpointAvailability {
+        val entry = entries[endpoint] ?: return EndpointAvailability.Down
+        return when {
+            entry.listed == PlatformState.GONE -> EndpointAvailability.Down
+            entry.leaving || entry.drained -> EndpointAvailability.Leaving
+            entry.listed == PlatformState.LIVE || entry.answered -> EndpointAvailability.Serving(weight(now, entry))
+            else -> EndpointAvailability.Down
+        }
+    }
+
+    private fun listed(
+        now: Timestamp,
+        item: PlatformEntry,
+        first: Boolean,
+    ) {
+        val entry = entries.getOrPut(item.endpoint) { Entry(now) }
+        val replaced = entry.listed != null && item.incarnation != entry.listIncarnation
+        val returned = entry.listed == PlatformState.GONE && item.state != PlatformState.GONE
+        if (replaced || returned) rejoin(now, entry)
+        entry.listIncarnation = item.incarnation
+        if (first) entry.joined = null
+        if (item.state == PlatformState.GONE) return gone(now, entry)
+        entry.listed = item.state
+        entry.goneAt = null
+        entry.leaving = entry.leaving || item.state == PlatformState.LEAVING
+    }
+
+    private fun gone(
+        now: Timestamp,
+        entry: Entry,
+    ) {
+        if (entry.listed != PlatformState.GONE) entry.goneAt = now
+        entry.listed = PlatformState.GONE
+        entry.answered = false
+    }
+
+    private fun rejoin(
+        now: Timestamp,
+        entry: Entry,
+    ) {
+        entry.leaving = false
+        entry.answered = false
+        entry.joined = now
+    }
+
+    private fun weight(
+        now: Timestamp,
+        entry: Entry,
+    ): Double {
+        val joined = entry.joined ?: return 1.0
+        val grown = (now - joined) / settings.slowStart
+        return grown.coerceIn(settings.firstWeight, 1.0)
+    }
+
+    private fun forgettable(
+        now: Timestamp,
+        entry: Entry,
+    ): Boolean {
+        val since = entry.goneAt ?: return false
+        return !entry.drained && now - since > settings.forgetAfter
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/EndpointLifecycleTest.kt
@@ -0,0 +1,112 @@
+package oriolespindle.core.lifecycle
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.chain.EndpointAvailability
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.util.SplittableRandom
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EndpointLifecycleTest {
+    private val start = Timestamp.ZERO
+    private val endpoint = EndpointId("e")
+    private val lifecycle = EndpointLifecycle()
+
+    private fun list(
+        version: Long,
+        state: PlatformState,
+        at: Timestamp = start,
+    ) = lifecycle.platformList(at, version, listOf(PlatformEntry(endpoint, state)))
+
+    private fun state(at: Timestamp = start) = lifecycle.state(at, endpoint)
+
+    @Test
+    fun `guards against an older or lagging list bringing a leaving endpoint back`() {
+        list(5, PlatformState.LIVE)
+        expectThat(state()).isEqualTo(EndpointAvailability.Serving(1.0))
+        lifecycle.ownAnswer(start, endpoint, draining = true)
+        lifecycle.ownAnswer(start, endpoint, draining = false)
+        list(6, PlatformState.LIVE)
+        expectThat(state()).isEqualTo(EndpointAvailability.Leaving)
+        list(8, PlatformState.GONE)
+        list(7, PlatformState.LIVE)
+        lifecycle.ownAnswer(start, endpoint, draining = false)
+        expectThat(state()).isEqualTo(EndpointAvailability.Down)
+    }
+
+    @Test
+    fun `guards against a new incarnation staying out or starting at full load`() {
+        list(1, PlatformState.LEAVING)
+        list(2, PlatformState.GONE)
+        list(3, PlatformState.LIVE)
+
+        expectThat(state()).isEqualTo(EndpointAvailability.Serving(0.1))
+        expectThat(state(start + 5.seconds)).isEqualTo(EndpointAvailability.Serving(0.5))
+        expectThat(state(start + 11.seconds)).isEqualTo(EndpointAvailability.Serving(1.0))
+    }
+
+    @Test
+    fun `guards against a late answer of an earlier incarnation bringing an endpoint back`() {
+        list(1, PlatformState.LIVE)
+        lifecycle.ownAnswer(start, endpoint, draining = true, incarnation = "a")
+        lifecycle.ownAnswer(start, endpoint, draining = false, incarnation = "b")
+        expectThat(state()).isEqualTo(EndpointAvailability.Serving(0.1))
+        lifecycle.ownAnswer(start, endpoint, draining = true, incarnation = "b")
+        lifecycle.ownAnswer(start, endpoint, draining = false, incarnation = "a")
+        expectThat(state()).isEqualTo(EndpointAvailability.Leaving)
+    }
+
+    @Test
+    fun `guards against an older withdrawal ending an operator's drain`() {
+        list(1, PlatformState.LIVE)
+        lifecycle.operatorDrain(start, endpoint, version = 9, draining = true)
+        lifecycle.operatorDrain(start, endpoint, version = 8, draining = false)
+        expectThat(state()).isEqualTo(EndpointAvailability.Leaving)
+        lifecycle.operatorDrain(start, endpoint, version = 10, draining = false)
+        expectThat(state()).isEqualTo(EndpointAvailability.Serving(0.1))
+    }
+
+    @Test
+    fun `guards against work for an endpoint that any source has reported as leaving`() {
+        val random = SplittableRandom(1)
+        var afterLeaving = 0
+        var served = 0
+        repeat(2_000) {
+            val seeded = EndpointLifecycle()
+            var truth = PlatformState.LIVE
+            var told = false
+            val lists = ArrayList<Pair<Long, PlatformState>>()
+            for (step in 1..60) {
+                val now = start + (step * 100).milliseconds
+                if (random.nextInt(20) == 0 &&
+                    truth != PlatformState.GONE
+                ) {
+                    truth = PlatformState.entries[truth.ordinal + 1]
+                }
+                lists += step.toLong() to truth
+                // The list that arrives is up to 20 versions old, and answers of the endpoint are lost or late.
+                val (version, listed) = lists[maxOf(0, lists.size - 1 - random.nextInt(20))]
+                if (random.nextInt(3) == 0) {
+                    seeded.platformList(now, version, listOf(PlatformEntry(endpoint, listed)))
+                    told = told || listed != PlatformState.LIVE
+                }
+                if (random.nextInt(3) == 0) {
+                    val draining = truth != PlatformState.LIVE && random.nextInt(2) == 0
+                    seeded.ownAnswer(now, endpoint, draining)
+                    told = told || draining
+                }
+                val serving = seeded.state(now, endpoint) is EndpointAvailability.Serving
+                if (serving && told) afterLeaving++
+                if (serving) served++
+            }
+        }
+        println("lifecycle: 2000 seeded orders, $served steps served, $afterLeaving after leaving was known")
+
+        expectThat(afterLeaving).isEqualTo(0)
+        expectThat(served).isGreaterThan(10_000)
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/InstanceShutdownTest.kt
@@ -0,0 +1,93 @@
+package oriolespindle.core.lifecycle
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.time.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.util.SplittableRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class InstanceShutdownTest {
+    private class Counts(
+        var interrupted: Int = 0,
+        var refused: Int = 0,
+        var notEnded: Int = 0,
+    )
+
+    /** The balancer checks readiness every 2 s and reacts up to 1 s later; requests take up to 60 s. */
+    private fun run(
+        seed: Long,
+        settings: ShutdownSettings,
+        counts: Counts,
+    ) {
+        val random = SplittableRandom(seed)
+        val shutdown = InstanceShutdown(settings)
+        val ends = HashMap<RequestId, Timestamp>()
+        val askedAt = Timestamp.ZERO + random.nextInt(10_000).milliseconds
+        val movedAt = askedAt + (random.nextInt(2_000) + random.nextInt(1_000)).milliseconds
+        var listening = true
+        var ended = false
+        for (step in 0..1_500) {
+            val now = Timestamp.ZERO + (step * 100).milliseconds
+            if (now < movedAt && random.nextInt(3) == 0) {
+                val request = RequestId("r$step")
+                if (listening) {
+                    shutdown.handle(now, ShutdownEvent.ConnectionOpened)
+                    shutdown.handle(now, ShutdownEvent.RequestStarted(request))
+                    ends[request] = now + random.nextInt(60_000).milliseconds
+                } else {
+                    counts.refused++
+                }
+            }
+            val done = ends.filterValues { it <= now }.keys
+            done.forEach { shutdown.handle(now, ShutdownEvent.RequestFinished(it)) }
+            ends -= done
+            if (now >= askedAt) shutdown.handle(now, ShutdownEvent.Requested)
+            val actions = shutdown.handle(now, ShutdownEvent.Tick)
+            if (ShutdownAction.StopAccepting in actions) listening = false
+            ended = ended || ShutdownAction.Exit in actions
+            if (ended) break
+        }
+        counts.interrupted += ends.size
+        if (!ended) counts.notEnded++
+    }
+
+    private fun run(settings: ShutdownSettings): Counts {
+        val counts = Counts()
+        (1L..500L).forEach { run(it, settings, counts) }
+        println(
+            "shutdown: 500 seeds, unready for ${settings.unreadyFor}: ${counts.interrupted} interrupted, " +
+                "${counts.refused} connections refused, ${counts.notEnded} not ended",
+        )
+        return counts
+    }
+
+    @Test
+    fun `guards against a shutdown that interrupts or refuses a request`() {
+        val counts = run(ShutdownSettings())
+
+        expectThat(counts.interrupted).isEqualTo(0)
+        expectThat(counts.refused).isEqualTo(0)
+        expectThat(counts.notEnded).isEqualTo(0)
+        expectThat(run(ShutdownSettings(unreadyFor = Duration.ZERO, quietFor = Duration.ZERO)).refused).isGreaterThan(0)
+    }
+
+    @Test
+    fun `guards against a balancer that ignores readiness keeping the instance for ever`() {
+        val shutdown = InstanceShutdown()
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.Requested)
+        val actions =
+            (1..61).flatMap { second ->
+                val now = Timestamp.ZERO + second.seconds
+                shutdown.handle(now, ShutdownEvent.ConnectionOpened)
+                shutdown.handle(now, ShutdownEvent.Tick)
+            }
+
+        expectThat(actions.count { it == ShutdownAction.StopAccepting }).isEqualTo(1)
+        expectThat(shutdown.ready).isEqualTo(false)
+    }
+}
