Report readiness only with contracts and plans in force, and add process tests

Cause: a process test waited for tokens that never came: the instance was ready before its contracts and plans were in force, and its first request was refused with an unknown credential. Ruled out: a wait in the test, because a balancer would send callers to the instance as early as the test did. Conclusion: readiness is an answer about requests and not about the watch.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -50,7 +50,8 @@
             requests.load(RequestMessage.Load(endpoint, answer))
         }
     private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
-    private val state = StateComponent(platform, timers, self(), metrics, requests::changed, requests::listed, ::operatorsChanged)
+    private val state =
+        StateComponent(platform, timers, self(), metrics, requests::changed, requests::listed, ::operatorsChanged)
     private val shutdown = ShutdownCoordinator(shutdownSettings(), timers, ::perform)
     private val callers = HttpServer(group, observer = CallerObserver(), handler = requests::arrived)
     private val administrationApi = AdministrationApi(metrics, operators, ObjectApi(state), ::isReady, ::status)
@@ -86,7 +87,7 @@
         operators.replace(items.mapNotNull { item -> item.value?.let(OperatorValue::parseOrNull) })
     }
 
-    private fun isReady(): Boolean = state.revision > 0 && shutdown.isReady
+    private fun isReady(): Boolean = requests.isReady && shutdown.isReady
 
     /** Ends the instance once every request in flight has its answer; `onStopped` is called then. */
     fun shutDown() {
@@ -155,13 +156,16 @@
             workFinished = { shutdown.finished(it) },
         )
 
-    private fun modelRoutes(context: RequestContext): ModelRoutes =
+    private fun modelRoutes(
+        context: RequestContext,
+        onPlanned: () -> Unit,
+    ): ModelRoutes =
         ModelRoutes(
             instance = settings.instance,
             random = random,
             planning = planning,
             post = context::continueWith,
-            onPlanned = {},
+            onPlanned = onPlanned,
         )
 
     private companion object {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
@@ -23,12 +23,16 @@
     private val random: RandomGenerator,
     private val planning: Executor,
     private val post: (() -> Unit) -> Unit,
-    private val onPlanned: (ModelId) -> Unit,
+    private val onPlanned: () -> Unit,
 ) {
     private val selectors = HashMap<ModelId, ChainSelector>()
     private val generations = HashMap<ModelId, Int>()
     private val plans = HashMap<ModelId, ChainPlan>()
 
+    /** The number of plans that are being computed. */
+    var pendingPlans: Int = 0
+        private set
+
     fun selector(model: ModelId): ChainSelector? = selectors[model]
 
     fun plan(model: ModelId): ChainPlan? = plans[model]
@@ -42,6 +46,7 @@
         val model = topology.model.id
         val generation = (generations[model] ?: 0) + 1
         generations[model] = generation
+        pendingPlans++
         planning.execute {
             val plan = ChainPlanner().plan(topology)
             post { take(now(), model, generation, plan) }
@@ -60,11 +65,12 @@
         generation: Int,
         plan: ChainPlan,
     ) {
+        pendingPlans--
+        onPlanned()
         if (generations[model] != generation) return
         val selector = selectors.getOrPut(model) { ChainSelector(instance, ChainSelectorSettings(), random) }
         selector.plan(now, plan)
         plans[model] = plan
         EventLog.info("model planned", "model" to model, "chains" to plan.chains.size, "bound" to plan.bound)
-        onPlanned(model)
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -25,17 +25,24 @@
     private val metrics: Metrics,
     jitter: () -> Double,
     createContext: (offer: (RequestMessage) -> Boolean) -> RequestContext,
-    createRoutes: (RequestContext) -> ModelRoutes,
+    createRoutes: (RequestContext, onPlanned: () -> Unit) -> ModelRoutes,
 ) {
     private val component = Component("requests", RING_CAPACITY, ::handle)
     private val context = createContext(component::offer)
-    private val routes = createRoutes(context)
+    private val routes = createRoutes(context, ::updateReadiness)
     private val endpoints = EndpointStates(context.directory)
     private val sessions = HashMap<RequestId, CompletionSession>()
     private val retries = RetryPolicy(jitter = jitter)
     private val services = ServiceCalls(context, ServiceSender(context, endpoints), retries)
     private val api = CallerApi(context, ::completion, services::handle)
 
+    private var configured = false
+
+    /** Whether the first configuration is in force and every model has its plan. */
+    @Volatile
+    var isReady: Boolean = false
+        private set
+
     fun start() {
         component.start()
         context.timers.every(TICK) { component.offer(RequestMessage.Tick) }
@@ -98,7 +105,14 @@
 
             is CompletionParse.Valid -> {
                 val session =
-                    CompletionSession(context, routes, endpoints, retries, caller, parsed.request) { sessions.remove(it.id) }
+                    CompletionSession(
+                        context,
+                        routes,
+                        endpoints,
+                        retries,
+                        caller,
+                        parsed.request,
+                    ) { sessions.remove(it.id) }
                 sessions[caller.id] = session
                 caller.exchange.onClosed = { context.post(RequestMessage.CallerGone(caller.id)) }
                 session.start()
@@ -138,6 +152,8 @@
             val topology = context.directory.topology(model)
             if (topology == null) routes.remove(model) else routes.replan(context::now, topology)
         }
+        configured = true
+        updateReadiness()
     }
 
     private fun tick() {
@@ -148,6 +164,11 @@
         }
     }
 
+    /** Once ready, the component stays ready: a new plan replaces one that still serves. */
+    private fun updateReadiness() {
+        if (configured && routes.pendingPlans == 0) isReady = true
+    }
+
     private fun applyContract(item: StoredObject) {
         val team = TeamId(item.key.name)
         val value = item.value
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -38,6 +38,9 @@
     private var listing = false
     private var listDue = Timestamp(Long.MIN_VALUE)
     private var registered = false
+
+    /** Whether the first list was handed on; it is also handed on when it has no objects. */
+    private var published = false
     private var registerDue = Timestamp(Long.MIN_VALUE)
 
     /** The revision up to which this instance has every change. */
@@ -105,7 +108,8 @@
     }
 
     private fun publish(changes: List<ObjectChange>) {
-        if (changes.isEmpty()) return
+        if (changes.isEmpty() && published) return
+        published = true
         if (changes.any { it.key.kind == ObjectKind.OPERATOR }) operators(cache.live(ObjectKind.OPERATOR))
         unpublished.addLast(changes.map { it.after })
         flush()
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/TestFleet.kt
@@ -0,0 +1,149 @@
+package oriolespindle.router.process
+
+import oriolespindle.core.contract.KeyDigest
+import oriolespindle.testkit.engine.EngineSettings
+import oriolespindle.testkit.engine.expectedToken
+import oriolespindle.testkit.fleet.FleetObject
+import oriolespindle.testkit.fleet.FleetProcess
+import oriolespindle.testkit.fleet.ProcessFleet
+import oriolespindle.testkit.http.TestClient
+import oriolespindle.testkit.http.TestReply
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Separate processes: a platform, engines for two layer ranges, servers of a plain service, and router instances. */
+internal class TestFleet(
+    routers: Int = 2,
+    enginesPerRange: Int = 2,
+    services: Int = 1,
+    tokenDelay: Duration = 10.milliseconds,
+    routerFlags: List<String> = emptyList(),
+) : AutoCloseable {
+    private val processes = ProcessFleet(routerClassPath = System.getProperty("java.class.path"))
+
+    val heads: List<FleetProcess> = engines("head", 0, MIDDLE, enginesPerRange, tokenDelay)
+    val tails: List<FleetProcess> = engines("tail", MIDDLE, LAYERS, enginesPerRange, tokenDelay)
+    val services: List<FleetProcess> = (1..services).map { processes.service("orders-$it") }
+    val platform: FleetProcess
+    val routers: List<FleetProcess>
+
+    init {
+        try {
+            platform = processes.platform(objects())
+            processes.awaitReady()
+            this.routers = (1..routers).map { processes.router("r$it", "z1", platform.address, routerFlags) }
+            processes.awaitReady()
+        } catch (e: IllegalStateException) {
+            processes.close()
+            throw e
+        }
+    }
+
+    override fun close() {
+        processes.close()
+    }
+
+    fun complete(
+        router: Int,
+        prompt: String,
+        tokens: Int,
+        stream: Boolean = true,
+        onLine: (String) -> Unit = {},
+    ): TestReply {
+        val body = """{"model":"$MODEL","prompt":"$prompt","max_tokens":$tokens,"stream":$stream}"""
+        return TestClient(routers[router].address, CALL_LIMIT)
+            .call("POST", "/v1/completions", body, AUTHORIZATION, onLine)
+    }
+
+    fun order(
+        router: Int,
+        key: String?,
+        body: String = """{"part":"p-1"}""",
+        headers: Map<String, String> = emptyMap(),
+    ): TestReply {
+        val keyHeader = if (key == null) emptyMap() else mapOf("Idempotency-Key" to key)
+        return TestClient(routers[router].address, CALL_LIMIT)
+            .call("POST", "/services/$SERVICE/stock", body, AUTHORIZATION + keyHeader + headers)
+    }
+
+    fun metric(
+        router: Int,
+        name: String,
+    ): Double =
+        TestClient(routers[router].administration)
+            .call("GET", "/metrics")
+            .lines
+            .filter { it.startsWith("$name ") || it.startsWith("$name{") }
+            .sumOf { it.substringAfterLast(' ').toDouble() }
+
+    private fun engines(
+        name: String,
+        first: Int,
+        end: Int,
+        count: Int,
+        tokenDelay: Duration,
+    ): List<FleetProcess> =
+        (1..count).map {
+            val settings = EngineSettings("$name-$it", MODEL, first, end, tokenDelay, tokensPerSecond = RATE)
+            processes.engine(settings)
+        }
+
+    private fun objects(): List<FleetObject> {
+        val heads = heads.map { engineObject(it, 0, MIDDLE) }
+        val tails = tails.map { engineObject(it, MIDDLE, LAYERS) }
+        val servers =
+            services.map {
+                FleetObject("endpoint", it.name, """{"address":"${it.address}","zone":"z1","service":"$SERVICE"}""")
+            }
+        return heads + tails + servers +
+            FleetObject("model", MODEL, """{"layers":$LAYERS}""") +
+            FleetObject("service", SERVICE, """{"nonIdempotentMethods":["POST"]}""") +
+            FleetObject("contract", "team-a", contract())
+    }
+
+    private fun engineObject(
+        engine: FleetProcess,
+        first: Int,
+        end: Int,
+    ): FleetObject {
+        val value =
+            """{"address":"${engine.address}","zone":"z1","model":"$MODEL","first":$first,"end":$end,""" +
+                """"tokensPerSecond":$RATE}"""
+        return FleetObject("endpoint", engine.name, value)
+    }
+
+    companion object {
+        const val MODEL = "demo"
+        const val SERVICE = "orders"
+        const val LAYERS = 40
+        const val KEY = "team-a-test-key"
+        private const val MIDDLE = 20
+        private const val RATE = 1000.0
+        private val AUTHORIZATION = mapOf("Authorization" to "Bearer $KEY")
+        private val CALL_LIMIT = 60.seconds
+
+        fun contract(
+            team: String = "team-a",
+            key: String = KEY,
+            requestsPerSecond: Double = 1000.0,
+        ): String =
+            """{"team":"$team","keyDigests":["${KeyDigest.of(key)}"],"requestsPerSecond":$requestsPerSecond,""" +
+                """"tokensPerSecond":100000.0,"concurrency":200,"weight":1.0,"priorities":[0,1],""" +
+                """"models":["$MODEL"],"services":["$SERVICE"],"defaultDeadlineMs":10000,""" +
+                """"maximumDeadlineMs":600000,"maximumBodyBytes":65536,"maximumPromptTokens":4000,""" +
+                """"maximumGeneratedTokens":4000,"queueLength":200,"retryBudget":0.1}"""
+
+        /** The lines of a whole streamed answer. */
+        fun expectedStream(
+            prompt: String,
+            tokens: Int,
+        ): List<String> =
+            (0 until tokens).map { """data: {"position":$it,"token":"${expectedToken(MODEL, prompt, it)}"}""" } +
+                """data: {"finish":"length","tokens":$tokens}""" +
+                "data: [DONE]"
+    }
+}
+
+/** The lines of a stream without the empty ones between events. */
+internal fun TestReply.events(): List<String> = lines.filter { it.isNotBlank() }
