Add the transport between instances

Cause: instances exchange membership, configuration and shares; anyone who reaches the port can send bytes to it. Ruled out: one connection for each direction (twice the sockets at 330 instances); dialling peers to which nothing is sent (the dead would be dialled for ever); waiting on one signal in the dialler and the writer (the dialler could take the signal of a frame that the writer then never sees). Conclusion: the router can be joined to the transport; frames after the proof are neither signed nor encrypted.

--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/FleetKey.kt
@@ -0,0 +1,60 @@
+package oriolespindle.router.peer
+
+import java.io.ByteArrayOutputStream
+import java.io.DataOutputStream
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/**
+ * The secret that all instances of a fleet share.
+ *
+ * It proves that a peer belongs to the fleet; it does not encrypt, and the frames that follow are not signed.
+ *
+ * @throws IllegalArgumentException if the secret is shorter than 16 bytes.
+ */
+public class FleetKey(
+    secret: ByteArray,
+) {
+    private val key: SecretKeySpec
+
+    init {
+        require(secret.size >= SHORTEST) { "fleet key has ${secret.size} bytes, must have at least $SHORTEST" }
+        key = SecretKeySpec(secret, ALGORITHM)
+    }
+
+    /**
+     * Returns the proof of [identity] for the nonce [theirs].
+     *
+     * The role is part of the proof, so that a proof cannot be sent back to the side that made it.
+     */
+    internal fun prove(
+        role: Role,
+        identity: PeerIdentity,
+        theirs: HandshakeBytes,
+        own: HandshakeBytes,
+    ): HandshakeBytes {
+        val content = ByteArrayOutputStream()
+        DataOutputStream(content).use { out ->
+            out.writeUTF(role.name)
+            out.writeUTF(identity.instance.value)
+            out.writeLong(identity.incarnation)
+            out.writeUTF(identity.zone.value)
+            out.writeUTF(identity.address)
+            listOf(theirs, own).forEach {
+                out.writeInt(it.bytes.size)
+                out.write(it.bytes)
+            }
+        }
+        val mac = Mac.getInstance(ALGORITHM).apply { init(key) }
+        return HandshakeBytes(mac.doFinal(content.toByteArray()))
+    }
+
+    override fun toString(): String = "FleetKey"
+
+    internal enum class Role { ACCEPTS, CONNECTS }
+
+    private companion object {
+        const val ALGORITHM = "HmacSHA256"
+        const val SHORTEST = 16
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
@@ -0,0 +1,165 @@
+package oriolespindle.router.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import oriolespindle.core.config.CacheDigest
+import oriolespindle.core.config.Revision
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.membership.Gossip
+
+/**
+ * A message between two instances.
+ *
+ * [gossip] says whether a later message replaces this one, so that it may be dropped when a peer is slow.
+ */
+@Serializable
+public sealed class PeerMessage {
+    public open val gossip: Boolean get() = false
+
+    /** Introduces [identity]; [proof] is empty in the first message of the accepting side. */
+    @Serializable
+    @SerialName("hello")
+    public data class Hello(
+        public val identity: PeerIdentity,
+        public val nonce: HandshakeBytes,
+        public val proof: HandshakeBytes = HandshakeBytes.EMPTY,
+    ) : PeerMessage()
+
+    @Serializable
+    @SerialName("ping")
+    public data class Ping(
+        public val content: Gossip,
+    ) : PeerMessage() {
+        override val gossip: Boolean get() = true
+    }
+
+    @Serializable
+    @SerialName("ack")
+    public data class Ack(
+        public val content: Gossip,
+    ) : PeerMessage() {
+        override val gossip: Boolean get() = true
+    }
+
+    @Serializable
+    @SerialName("digest")
+    public data class Digest(
+        public val content: CacheDigest,
+    ) : PeerMessage() {
+        override val gossip: Boolean get() = true
+    }
+
+    /** Objects that the receiver may lack; see [split] for lists that exceed one frame. */
+    @Serializable
+    @SerialName("objects")
+    public data class Objects(
+        public val items: List<StoredObject>,
+    ) : PeerMessage() {
+        public companion object {
+            /** Half a frame, so that CBOR keys and the longest value of the platform (1 MB) still fit. */
+            private const val SPLIT_BYTES = 512 * 1024
+
+            /** Returns messages that carry [items] in order, each of which fits in one frame. */
+            public fun split(items: List<StoredObject>): List<Objects> {
+                val batches = ArrayList<MutableList<StoredObject>>()
+                var bytes = 0
+                for (item in items) {
+                    val size = item.key.name.length + (item.value?.toByteArray()?.size ?: 0)
+                    if (batches.isEmpty() || bytes + size > SPLIT_BYTES) {
+                        batches += ArrayList<StoredObject>()
+                        bytes = 0
+                    }
+                    batches.last() += item
+                    bytes += size
+                }
+                return batches.map { Objects(it) }
+            }
+        }
+    }
+
+    /** What the sender has given to the receiver in total, and what it has received from it. */
+    @Serializable
+    @SerialName("shares")
+    public data class ShareCounters(
+        public val allotment: Revision,
+        public val counters: List<ShareCounter>,
+    ) : PeerMessage()
+
+    /** The units that the sender asks the receiver for. */
+    @Serializable
+    @SerialName("want")
+    public data class ShareWant(
+        public val wants: List<ShareRequest>,
+    ) : PeerMessage() {
+        override val gossip: Boolean get() = true
+    }
+
+    /** Which requests were in flight when endpoints crashed. */
+    @Serializable
+    @SerialName("evidence")
+    public data class Evidence(
+        public val items: List<EvidenceItem>,
+    ) : PeerMessage()
+
+    /** The demand at the sender by team, in tokens per second. */
+    @Serializable
+    @SerialName("demand")
+    public data class Demand(
+        public val teams: Map<TeamId, Double>,
+    ) : PeerMessage() {
+        override val gossip: Boolean get() = true
+    }
+}
+
+/** Who sends on a connection; [address] is where it accepts connections. */
+@Serializable
+public data class PeerIdentity(
+    public val instance: InstanceId,
+    public val incarnation: Long,
+    public val zone: ZoneId,
+    public val address: String,
+)
+
+/** The counters of one limit between the sender and the receiver of a message; both only rise. */
+@Serializable
+public data class ShareCounter(
+    @SerialName("t")
+    public val team: TeamId,
+    @SerialName("l")
+    public val limit: String,
+    @SerialName("g")
+    public val given: Long,
+    @SerialName("r")
+    public val received: Long,
+)
+
+/** A request for [units] of one limit. */
+@Serializable
+public data class ShareRequest(
+    @SerialName("t")
+    public val team: TeamId,
+    @SerialName("l")
+    public val limit: String,
+    @SerialName("u")
+    public val units: Long,
+)
+
+/** One crash of [endpoint] in which the request with [fingerprint] was one of [suspects] requests in flight. */
+@Serializable
+public data class EvidenceItem(
+    @SerialName("f")
+    public val fingerprint: String,
+    @SerialName("e")
+    public val endpoint: EndpointId,
+    /** Names the crash at the instance that observed it, so that repeated evidence is counted once. */
+    @SerialName("c")
+    public val crash: String,
+    @SerialName("s")
+    public val suspects: Int,
+    @SerialName("a")
+    public val ageMillis: Long,
+)
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerTransportSettings.kt
@@ -0,0 +1,23 @@
+package oriolespindle.router.peer
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Where an instance accepts peers and the limits of its connections. */
+public data class PeerTransportSettings(
+    public val listenHost: String,
+    /** Zero chooses a free port. */
+    public val listenPort: Int,
+    public val fleetKey: FleetKey,
+    public val queueFrames: Int = 256,
+    public val queueBytes: Int = 4 * 1024 * 1024,
+    public val firstBackoff: Duration = 100.milliseconds,
+    public val longestBackoff: Duration = 5.seconds,
+    public val connectTimeout: Duration = 2.seconds,
+    public val handshakeTimeout: Duration = 2.seconds,
+    /** A connection that does not answer a heartbeat, or accepts no bytes, for this long is closed. */
+    public val silenceLimit: Duration = 5.seconds,
+    /** Connections that have not proved the fleet key, which anyone who reaches the port can open. */
+    public val mostUnproved: Int = 64,
+)
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerQueueTest.kt
@@ -0,0 +1,49 @@
+package oriolespindle.router.peer
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import oriolespindle.core.config.Revision
+import oriolespindle.core.id.TeamId
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+
+/** Guards against a slow peer that makes an instance run out of memory or delays counters behind old gossip. */
+class PeerQueueTest {
+    private val frame = ByteArray(10)
+
+    private fun gossip(number: Int) = PeerMessage.Demand(mapOf(TeamId("t") to number.toDouble()))
+
+    private fun counters(number: Long) = PeerMessage.ShareCounters(Revision(number), emptyList())
+
+    private fun drain(
+        queue: PeerQueue,
+        count: Int,
+    ) = runBlocking { List(count) { queue.take().second } }
+
+    @Test
+    fun `guards against dropping counters while old gossip waits`() {
+        val queue = PeerQueue(mostFrames = 3, mostBytes = 1_000)
+        val messages = listOf(counters(1), gossip(1), gossip(2), counters(2))
+
+        expectThat(messages.map { queue.offer(frame, it) }).containsExactly(0, 0, 0, 1)
+        expectThat(drain(queue, 3)).containsExactly(counters(1), gossip(2), counters(2))
+    }
+
+    @Test
+    fun `guards against a queue of counters without a bound`() {
+        val queue = PeerQueue(mostFrames = 100, mostBytes = 25)
+        (1L..3L).forEach { queue.offer(frame, counters(it)) }
+
+        expectThat(drain(queue, 2)).containsExactly(counters(2), counters(3))
+    }
+
+    @Test
+    fun `guards against delivering old heartbeats after a connection was down`() {
+        val queue = PeerQueue(mostFrames = 10, mostBytes = 1_000)
+        listOf(gossip(1), counters(1), gossip(2)).forEach { queue.offer(frame, it) }
+
+        expectThat(queue.dropGossip()).isEqualTo(2)
+        expectThat(drain(queue, 1)).containsExactly(counters(1))
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
@@ -0,0 +1,203 @@
+package oriolespindle.router.peer
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import oriolespindle.core.config.Revision
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.membership.Gossip
+import oriolespindle.core.membership.MemberRecord
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Guards against messages from outside the fleet and against connections that do not come back. */
+@Timeout(60)
+class PeerTransportTest {
+    private class Node(
+        val transport: PeerTransport,
+        val id: InstanceId,
+        val received: LinkedBlockingQueue<Pair<InstanceId, PeerMessage>>,
+        val address: String,
+    ) {
+        fun next(): Pair<InstanceId, PeerMessage>? = received.poll(20, TimeUnit.SECONDS)
+    }
+
+    private val open = ArrayList<PeerTransport>()
+
+    @AfterEach
+    fun closeAll() = open.forEach { it.close() }
+
+    private fun start(
+        name: String,
+        key: Int = 1,
+        port: Int = freePort(),
+    ): Node {
+        val received = LinkedBlockingQueue<Pair<InstanceId, PeerMessage>>()
+        val settings =
+            PeerTransportSettings(
+                listenHost = "127.0.0.1",
+                listenPort = port,
+                fleetKey = FleetKey(ByteArray(16) { key.toByte() }),
+                firstBackoff = 20.milliseconds,
+                longestBackoff = 100.milliseconds,
+                handshakeTimeout = 500.milliseconds,
+                silenceLimit = 500.milliseconds,
+            )
+        val address = "127.0.0.1:$port"
+        val identity = PeerIdentity(InstanceId(name), 0, ZoneId("zone-a"), address)
+        val transport = PeerTransport(identity, settings, { from, message -> received += from to message })
+        transport.start()
+        open += transport
+        return Node(transport, identity.instance, received, address)
+    }
+
+    private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+
+    private fun demand(number: Int) = PeerMessage.Demand(mapOf(TeamId("t") to number.toDouble()))
+
+    private fun ping(node: Node) = PeerMessage.Ping(Gossip(MemberRecord(node.id, ZoneId("zone-a"), node.address), 1))
+
+    /** Sends until [to] receives something, because messages on a failing connection are lost. */
+    private fun sendUntilReceived(
+        from: Node,
+        to: Node,
+    ): Boolean =
+        (1..400).any { number ->
+            from.transport.send(to.id, demand(number))
+            to.received.poll(50, TimeUnit.MILLISECONDS) != null
+        }
+
+    @Test
+    fun `guards against messages that arrive out of order or name another sender`() {
+        val a = start("a")
+        val b = start("b")
+        a.transport.connect(b.id, b.address)
+
+        (1..3).forEach { a.transport.send(b.id, demand(it)) }
+        expectThat(List(3) { b.next() }).containsExactly((1..3).map { a.id to demand(it) })
+
+        b.transport.send(a.id, demand(4))
+        expectThat(a.next()).isEqualTo(b.id to demand(4))
+    }
+
+    @Test
+    fun `guards against a peer without the fleet key`() {
+        val a = start("a")
+        val stranger = start("s", key = 2)
+        stranger.transport.connect(a.id, a.address)
+        stranger.transport.send(a.id, PeerMessage.ShareCounters(Revision(1), emptyList()))
+
+        waitUntil {
+            a.transport.counters.unproved
+                .sum() >= 2
+        }
+
+        expectThat(a.received).isEmpty()
+        expectThat(a.transport.send(stranger.id, demand(1))).isEqualTo(SendResult.UnknownPeer)
+    }
+
+    @Test
+    fun `guards against frames before the proof and against a claimed length`() {
+        val a = start("a")
+        for (length in listOf(Int.MAX_VALUE, -1, 5_000)) {
+            Socket("127.0.0.1", a.address.substringAfter(':').toInt()).use { socket ->
+                val input = DataInputStream(socket.getInputStream())
+                input.readNBytes(input.readInt())
+                DataOutputStream(socket.getOutputStream()).writeInt(length)
+                expectThat(input.read()).isEqualTo(-1)
+            }
+        }
+        expectThat(a.received).isEmpty()
+    }
+
+    @Test
+    fun `guards against a peer that restarts and is never reached again`() {
+        val a = start("a")
+        val b = start("b")
+        a.transport.connect(b.id, b.address)
+        expectThat(sendUntilReceived(a, b)).isTrue()
+
+        b.transport.close()
+        val restarted = start("b", port = b.address.substringAfter(':').toInt())
+
+        expectThat(sendUntilReceived(a, restarted)).isTrue()
+    }
+
+    @Test
+    fun `guards against an open connection that no longer carries anything`() {
+        val a = start("a")
+        val b = start("b")
+        SilencingLink(b.address.substringAfter(':').toInt()).use { link ->
+            a.transport.connect(b.id, "127.0.0.1:${link.port}")
+            expectThat(sendUntilReceived(a, b)).isTrue()
+            link.silenceOpenConnections()
+            b.received.clear()
+
+            a.transport.send(b.id, ping(a))
+
+            waitUntil {
+                a.transport.counters.silent
+                    .sum() > 0
+            }
+            expectThat(sendUntilReceived(a, b)).isTrue()
+        }
+    }
+
+    @Test
+    fun `guards against losing a peer whose name is learned only from its connection`() {
+        val a = start("a")
+        val b = start("b")
+        a.transport.contact(b.address)
+        waitUntil { a.transport.send(b.id, demand(1)) is SendResult.Queued }
+
+        expectThat(b.next()?.first).isEqualTo(a.id)
+    }
+
+    @Test
+    fun `guards against both sides closing the connection that the other side keeps`() {
+        repeat(10) { round ->
+            val a = start("a$round")
+            val b = start("b$round")
+            a.transport.connect(b.id, b.address)
+            b.transport.connect(a.id, a.address)
+            a.transport.send(b.id, demand(0))
+            b.transport.send(a.id, demand(0))
+
+            expectThat(sendUntilReceived(a, b)).isTrue()
+            expectThat(sendUntilReceived(b, a)).isTrue()
+        }
+    }
+
+    @Test
+    fun `guards against a queue that grows while a peer is unreachable`() {
+        val a = start("a")
+        a.transport.connect(InstanceId("b"), "127.0.0.1:${freePort()}")
+
+        val results = (1..1_000).map { a.transport.send(InstanceId("b"), demand(it)) }
+
+        expectThat(results.filterIsInstance<SendResult.Queued>().size).isEqualTo(1_000)
+        waitUntil {
+            a.transport.counters.dropped
+                .sum() == 1_000L
+        }
+        expectThat(results.first()).isA<SendResult.Queued>()
+    }
+
+    private fun waitUntil(condition: () -> Boolean) {
+        while (!condition()) Thread.sleep(5)
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/SilencingLink.kt
@@ -0,0 +1,61 @@
+package oriolespindle.router.peer
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.concurrent.thread
+
+/** A TCP relay on loopback whose open connections can be made to swallow every byte while new ones work. */
+internal class SilencingLink(
+    private val target: Int,
+) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val silenced = CopyOnWriteArrayList<AtomicBoolean>()
+    private val sockets = CopyOnWriteArrayList<Socket>()
+
+    val port: Int get() = server.localPort
+
+    init {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) relay(server.accept())
+            }
+        }
+    }
+
+    fun silenceOpenConnections() = silenced.forEach { it.set(true) }
+
+    override fun close() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun relay(client: Socket) {
+        val upstream = Socket(InetAddress.getLoopbackAddress(), target)
+        val silent = AtomicBoolean()
+        silenced += silent
+        sockets += listOf(client, upstream)
+        copy(client, upstream, silent)
+        copy(upstream, client, silent)
+    }
+
+    private fun copy(
+        from: Socket,
+        to: Socket,
+        silent: AtomicBoolean,
+    ) {
+        thread(isDaemon = true) {
+            runCatching {
+                val buffer = ByteArray(8_192)
+                while (true) {
+                    val count = from.getInputStream().read(buffer)
+                    if (count < 0) break
+                    if (!silent.get()) to.getOutputStream().write(buffer, 0, count)
+                }
+            }
+            if (!silent.get()) runCatching { to.close() }
+        }
+    }
+}
