--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectCache.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectCache.kt
@@ -37,6 +37,7 @@
             is ObjectEvent.Listed -> listed(event)
             is ObjectEvent.FromPeer -> event.items.mapNotNull(::put)
             is ObjectEvent.PeerDigest -> nothing { confirm(event.digest) }
+            is ObjectEvent.PeerConfirmed -> nothing { confirm(event) }
             is ObjectEvent.Read -> listOfNotNull(put(event.item))
         }
 
@@ -49,6 +50,10 @@
     /** Returns the description of the live objects that peers compare with their own. */
     public fun digest(): CacheDigest = CacheDigest(caches.values.map { it.digest() })
 
+    /** Whether [digest] describes the same live objects. */
+    public fun matches(digest: CacheDigest): Boolean =
+        caches.all { (kind, cache) -> digest.of(kind)?.let(cache::matches) ?: cache.live().isEmpty() }
+
     /**
      * Returns the objects that the sender of [digest] may lack, tombstones included.
      *
@@ -100,6 +105,10 @@
         }
     }
 
+    private fun confirm(event: ObjectEvent.PeerConfirmed) {
+        if (event.contentHash == contentHash) caches.values.forEach { it.raise(event.revision) }
+    }
+
     private inline fun nothing(step: () -> Unit): List<ObjectChange> {
         step()
         return emptyList()
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectEvent.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectEvent.kt
@@ -37,6 +37,12 @@
         public val digest: CacheDigest,
     ) : ObjectEvent
 
+    /** A peer whose live objects have [contentHash] has every change up to [revision] in force. */
+    public data class PeerConfirmed(
+        public val revision: Revision,
+        public val contentHash: Long,
+    ) : ObjectEvent
+
     /** The answer to a read of one object; it may be old. */
     public data class Read(
         public val item: StoredObject,
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchLiveness.kt
@@ -0,0 +1,108 @@
+package oriolespindle.core.config
+
+import oriolespindle.core.time.Timestamp
+import java.util.random.RandomGenerator
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** When a watch counts as silent and how it is opened again. */
+public data class WatchLivenessSettings(
+    /** The platform sends an idle line every second; three missing lines are not a slow platform. */
+    public val silenceLimit: Duration = 3.seconds,
+    public val firstBackoff: Duration = 200.milliseconds,
+    public val longestBackoff: Duration = 5.seconds,
+)
+
+/** What happened to a watch. */
+public enum class WatchSignal {
+    START,
+
+    /** Any line arrived, an idle line included. */
+    LINE,
+
+    /** The connection ended or could not be opened. */
+    ENDED,
+
+    /** The time of [WatchLiveness.nextTimer], or any later time, has come. */
+    TICK,
+
+    /** This instance no longer watches. */
+    STOP,
+}
+
+/** What to do with the connection of a watch. */
+public enum class WatchStep { OPEN, CLOSE }
+
+/** Keeps one watch open: a watch without a line for some seconds is closed and opened again on a new connection. */
+public class WatchLiveness(
+    private val settings: WatchLivenessSettings = WatchLivenessSettings(),
+    private val random: RandomGenerator,
+) {
+    private enum class Phase { STOPPED, OPEN, WAITING }
+
+    private var phase = Phase.STOPPED
+    private var due: Timestamp? = null
+    private var backoff = settings.firstBackoff
+
+    /** Whether a line arrived on the connection that is open now. */
+    public var live: Boolean = false
+        private set
+
+    /** Applies [signal] and returns what to do, in order. */
+    public fun handle(
+        now: Timestamp,
+        signal: WatchSignal,
+    ): List<WatchStep> =
+        when (signal) {
+            WatchSignal.START -> if (phase == Phase.STOPPED) open(now) else emptyList()
+            WatchSignal.LINE -> line(now)
+            WatchSignal.ENDED -> if (phase == Phase.OPEN) wait(now) else emptyList()
+            WatchSignal.TICK -> tick(now)
+            WatchSignal.STOP -> stop()
+        }
+
+    /** Returns when [WatchSignal.TICK] is due, or null while this instance does not watch. */
+    public fun nextTimer(): Timestamp? = due
+
+    private fun open(now: Timestamp): List<WatchStep> {
+        phase = Phase.OPEN
+        live = false
+        due = now + settings.silenceLimit
+        return listOf(WatchStep.OPEN)
+    }
+
+    private fun line(now: Timestamp): List<WatchStep> {
+        if (phase != Phase.OPEN) return emptyList()
+        live = true
+        backoff = settings.firstBackoff
+        due = now + settings.silenceLimit
+        return emptyList()
+    }
+
+    private fun tick(now: Timestamp): List<WatchStep> {
+        val reached = due?.let { now >= it } ?: false
+        if (!reached) return emptyList()
+        if (phase == Phase.WAITING) return open(now)
+        // A watch that was live works on a new connection at once; one that never answered waits like a failed one.
+        if (live) return listOf(WatchStep.CLOSE) + open(now)
+        return listOf(WatchStep.CLOSE) + wait(now)
+    }
+
+    /** The delay is random between half and the whole of the backoff, so that instances do not reconnect in step. */
+    private fun wait(now: Timestamp): List<WatchStep> {
+        phase = Phase.WAITING
+        live = false
+        due = now + backoff * (1 + random.nextDouble()) / 2
+        backoff = minOf(backoff * 2, settings.longestBackoff)
+        return emptyList()
+    }
+
+    private fun stop(): List<WatchStep> {
+        val open = phase == Phase.OPEN
+        phase = Phase.STOPPED
+        live = false
+        due = null
+        return if (open) listOf(WatchStep.CLOSE) else emptyList()
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ConfigurationSpreadTest.kt
@@ -0,0 +1,169 @@
+package oriolespindle.core.config
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.membership.MembershipEvent
+import oriolespindle.core.time.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+import java.util.SplittableRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against accepted changes that do not reach every instance in time, and against many reads. */
+class ConfigurationSpreadTest {
+    private data class Spread(
+        val inForce: Duration,
+        val confirmed: Duration,
+    )
+
+    private fun spread(fleet: ConfigurationFleet): Spread {
+        val membership = fleet.membership
+        val started = membership.now
+        val item = fleet.put("team-3")
+
+        fun held(instance: ConfigurationFleet.Instance) = instance.cache.get(item.key)?.version == item.version
+        while (!fleet.instances.values.all(::held) &&
+            membership.now - started < 60.seconds
+        ) {
+            membership.run(10.milliseconds)
+        }
+        val inForce = membership.now - started
+
+        fun confirmed(instance: ConfigurationFleet.Instance) = instance.cache.revision >= item.version
+        while (!fleet.instances.values.all(::confirmed) &&
+            membership.now - started < 60.seconds
+        ) {
+            membership.run(10.milliseconds)
+        }
+        return Spread(inForce, membership.now - started)
+    }
+
+    private fun worst(
+        fleet: ConfigurationFleet,
+        changes: Int,
+    ): Spread {
+        val spreads =
+            List(changes) {
+                fleet.membership.run(14.seconds)
+                spread(fleet)
+            }
+        return Spread(spreads.maxOf { it.inForce }, spreads.maxOf { it.confirmed })
+    }
+
+    @Test
+    fun `guards against a change that is in force later than 2 s today and 19 s at 330 instances`() {
+        for ((size, zones, limit) in listOf(Triple(9, 3, 2.seconds), Triple(330, 5, 19.seconds))) {
+            val fleet = ConfigurationFleet(size, zones, objects = 50, seed = 11)
+            val whole = worst(fleet, changes = 5)
+            val cutZone = ZoneId("zone-1")
+            fleet.cut = { it == cutZone }
+            val partitioned = worst(fleet, changes = 5)
+            println(
+                "configuration, $size instances: in force everywhere after ${whole.inForce}, confirmed after " +
+                    "${whole.confirmed}; with one zone cut from the platform " +
+                    "${partitioned.inForce} and ${partitioned.confirmed}",
+            )
+
+            expectThat(whole.inForce).isLessThanOrEqualTo(limit)
+            expectThat(partitioned.inForce).isLessThanOrEqualTo(limit)
+        }
+    }
+
+    @Test
+    fun `guards against control traffic above 4 KB per second at the target's rate of changes`() {
+        val fleet = ConfigurationFleet(330, zones = 5, objects = 50, seed = 12)
+        fleet.membership.run(20.seconds)
+        val nodes =
+            fleet.membership.nodes.values
+                .toList()
+        val before = nodes.sumOf { it.sentBytes + it.receivedBytes }
+        val started = fleet.membership.now
+        repeat(10) { spread(fleet).also { fleet.membership.run(14.seconds) } }
+
+        val seconds = (fleet.membership.now - started).inWholeMilliseconds / 1e3
+        val rate = (nodes.sumOf { it.sentBytes + it.receivedBytes } - before) / seconds / nodes.size
+        println("configuration and membership, 330 instances, 6,100 changes of 1 KB a day: %.0f B/s each".format(rate))
+        expectThat(rate).isLessThanOrEqualTo(4_000.0)
+    }
+
+    @Test
+    fun `guards against an instance that starts during an outage without configuration`() {
+        val fleet = ConfigurationFleet(9, zones = 3, objects = 300, seed = 13)
+        fleet.membership.run(10.seconds)
+        fleet.cut = { true }
+        val started = fleet.start(1).single()
+        // The platform's list of instances is down too; the settings name one peer.
+        fleet.membership.tell(
+            started.node,
+            MembershipEvent.Contact(
+                fleet.instances.values
+                    .first()
+                    .node.record,
+            ),
+        )
+        val complete = fleet.membership.now
+
+        fun missing() = started.cache.live(ObjectKind.CONTRACT).size < 300
+        while (missing() && fleet.membership.now - complete < 60.seconds) fleet.membership.run(10.milliseconds)
+
+        println(
+            "configuration, start during an outage: 300 objects from peers after ${fleet.membership.now - complete}",
+        )
+        expectThat(started.cache.contentHash).isEqualTo(
+            fleet.instances.values
+                .first()
+                .cache.contentHash,
+        )
+    }
+
+    @Test
+    fun `guards against calls to the platform that grow with the fleet`() {
+        for ((size, zones) in listOf(9 to 3, 330 to 5)) {
+            val fleet = ConfigurationFleet(size, zones, objects = 1, seed = 14)
+            val watching = fleet.count(WatchRole.WATCH)
+            val listening = fleet.count(WatchRole.LISTEN)
+            val lists = listening * (1.hours / WatchDutySettings().checkInterval)
+            println(
+                "platform calls, $size instances: $watching waiting watches, %.0f lists/h"
+                    .format(
+                        lists,
+                    ),
+            )
+
+            expectThat(watching).isEqualTo(zones * WatchDutySettings().watchersPerZone)
+            expectThat(listening).isEqualTo(size - watching)
+        }
+    }
+
+    @Test
+    fun `guards against moving more than one watch when an instance fails`() {
+        val fleet = ConfigurationFleet(30, zones = 3, objects = 1, seed = 15)
+        val watcher = fleet.instances.values.first { it.duty.role(fleet.members(it)) == WatchRole.WATCH }
+
+        fun watchers() = fleet.instances.filterValues { it.duty.role(fleet.members(it)) == WatchRole.WATCH }.keys
+        val before = watchers()
+
+        fleet.membership.kill(watcher.node)
+        fleet.instances.remove(watcher.node.record.id)
+        fleet.membership.run(30.seconds)
+
+        expectThat(watchers().size).isEqualTo(6)
+        expectThat((before - watchers()).toList()).isEqualTo(listOf(watcher.node.record.id))
+    }
+
+    @Test
+    fun `guards against lists that stay in step after an outage`() {
+        val duty = WatchDuty(InstanceId("a"), ZoneId("z"), random = SplittableRandom(1))
+        val start = Timestamp.ZERO
+        val first = duty.nextCheck(start)
+        duty.checked(first)
+
+        expectThat(duty.nextCheck(first) > first).isTrue()
+    }
+}
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/membership/MembershipFleet.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/membership/MembershipFleet.kt
@@ -45,6 +45,9 @@
     val nodes = LinkedHashMap<InstanceId, Node>()
     val gone = ArrayList<MemberRecord>()
 
+    /** Receives what instances report about their configuration: the receiver, the sender and the report. */
+    var onReport: (Node, Node, MembershipAction.Reported) -> Unit = { _, _, _ -> }
+
     /** Says whether a message between two instances arrives. */
     var connected: (MemberRecord, MemberRecord) -> Boolean = { _, _ -> true }
     var now = Timestamp.ZERO
@@ -96,6 +99,33 @@
             view(node).filterKeys { it in nodes }.run { size == nodes.size && values.all { it == MemberState.ALIVE } }
         }
 
+    /** Carries another message of [size] bytes, and runs [receive] where it arrives. */
+    fun post(
+        from: Node,
+        to: MemberRecord,
+        size: Int,
+        receive: (Node) -> Unit,
+    ) {
+        val bytes = size + FRAME_BYTES
+        from.sentBytes += bytes
+        val target = nodes[to.id] ?: return
+        if (!connected(from.record, to) || random.nextDouble() < loss) return
+        schedule(now + 500.microseconds) {
+            target.receivedBytes += bytes
+            if (nodes[to.id] === target) receive(target)
+        }
+    }
+
+    fun tell(
+        node: Node,
+        event: MembershipEvent,
+    ) = deliver(node, event)
+
+    fun at(
+        time: Timestamp,
+        run: () -> Unit,
+    ) = schedule(time, run)
+
     private fun schedule(
         at: Timestamp,
         run: () -> Unit,
@@ -151,7 +181,7 @@
             }
 
             is MembershipAction.Reported -> {
-                Unit
+                nodes[action.instance]?.let { onReport(node, it, action) }
             }
 
             else -> {
@@ -166,14 +196,7 @@
         gossip: Gossip,
         event: MembershipEvent,
     ) {
-        val bytes = cbor.encodeToByteArray(gossip).size + FRAME_BYTES
-        from.sentBytes += bytes
-        val target = nodes[to.id] ?: return
-        if (!connected(from.record, to) || random.nextDouble() < loss) return
-        schedule(now + 500.microseconds) {
-            target.receivedBytes += bytes
-            deliver(target, event)
-        }
+        post(from, to, cbor.encodeToByteArray(gossip).size) { deliver(it, event) }
     }
 
     private companion object {
