--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/membership/MembershipFleet.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/membership/MembershipFleet.kt
@@ -3,10 +3,10 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
+import oriolespindle.core.VirtualTime
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.time.Timestamp
-import java.util.PriorityQueue
 import java.util.SplittableRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
@@ -29,26 +29,21 @@
         var frozenUntil: Timestamp? = null
     }
 
-    private class Step(
-        val at: Timestamp,
-        val order: Long,
-        val run: () -> Unit,
-    )
-
     private val cbor = Cbor { useDefiniteLengthEncoding = true }
     private val random = SplittableRandom(seed)
-    private val steps = PriorityQueue<Step>(compareBy<Step> { it.at }.thenBy { it.order })
-    private var order = 0L
+    private val time = VirtualTime()
     private var platformVersion = 0L
     private var names = 0
 
     val nodes = LinkedHashMap<InstanceId, Node>()
     val gone = ArrayList<MemberRecord>()
 
+    /** Receives what instances report about their configuration: the receiver, the sender and the report. */
+    var onReport: (Node, Node, MembershipAction.Reported) -> Unit = { _, _, _ -> }
+
     /** Says whether a message between two instances arrives. */
     var connected: (MemberRecord, MemberRecord) -> Boolean = { _, _ -> true }
-    var now = Timestamp.ZERO
-        private set
+    val now: Timestamp get() = time.now
 
     fun start(count: Int): List<Node> =
         List(count) {
@@ -77,15 +72,7 @@
         receivers.forEach { deliver(it, MembershipEvent.PlatformList(platformVersion, entries)) }
     }
 
-    fun run(duration: Duration) {
-        val end = now + duration
-        while (steps.isNotEmpty() && steps.peek().at <= end) {
-            val step = steps.poll()
-            now = maxOf(now, step.at)
-            step.run()
-        }
-        now = end
-    }
+    fun run(duration: Duration) = time.run(duration)
 
     /** The states that [node] sees, by the name of the instance. */
     fun view(node: Node): Map<InstanceId, MemberState> =
@@ -96,17 +83,37 @@
             view(node).filterKeys { it in nodes }.run { size == nodes.size && values.all { it == MemberState.ALIVE } }
         }
 
-    private fun schedule(
-        at: Timestamp,
-        run: () -> Unit,
+    /** Carries another message of [size] bytes, and runs [receive] where it arrives. */
+    fun post(
+        from: Node,
+        to: MemberRecord,
+        size: Int,
+        receive: (Node) -> Unit,
     ) {
-        steps += Step(at, order++, run)
+        val bytes = size + FRAME_BYTES
+        from.sentBytes += bytes
+        val target = nodes[to.id] ?: return
+        if (!connected(from.record, to) || random.nextDouble() < loss) return
+        at(now + 500.microseconds) {
+            target.receivedBytes += bytes
+            if (nodes[to.id] === target) receive(target)
+        }
     }
 
+    fun tell(
+        node: Node,
+        event: MembershipEvent,
+    ) = deliver(node, event)
+
+    fun at(
+        moment: Timestamp,
+        run: () -> Unit,
+    ) = time.at(moment, run)
+
     private fun timer(node: Node) {
         val due = maxOf(node.machine.nextTimer(), now, node.frozenUntil ?: now)
-        schedule(due) {
-            if (nodes[node.record.id] !== node) return@schedule
+        at(due) {
+            if (nodes[node.record.id] !== node) return@at
             if (node.machine.nextTimer() <= now) deliver(node, MembershipEvent.Tick)
             timer(node)
         }
@@ -120,7 +127,7 @@
     ) {
         if (nodes[node.record.id] !== node) return
         if (frozen(node)) {
-            if (event != MembershipEvent.Tick) schedule(checkNotNull(node.frozenUntil)) { deliver(node, event) }
+            if (event != MembershipEvent.Tick) at(checkNotNull(node.frozenUntil)) { deliver(node, event) }
             return
         }
         node.events++
@@ -151,7 +158,7 @@
             }
 
             is MembershipAction.Reported -> {
-                Unit
+                nodes[action.instance]?.let { onReport(node, it, action) }
             }
 
             else -> {
@@ -166,14 +173,7 @@
         gossip: Gossip,
         event: MembershipEvent,
     ) {
-        val bytes = cbor.encodeToByteArray(gossip).size + FRAME_BYTES
-        from.sentBytes += bytes
-        val target = nodes[to.id] ?: return
-        if (!connected(from.record, to) || random.nextDouble() < loss) return
-        schedule(now + 500.microseconds) {
-            target.receivedBytes += bytes
-            deliver(target, event)
-        }
+        post(from, to, cbor.encodeToByteArray(gossip).size) { deliver(it, event) }
     }
 
     private companion object {
