--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/AttemptFailure.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/AttemptFailure.kt
@@ -16,7 +16,10 @@
  * [earlierMayHaveRun] is [mayHaveRun] of the attempt before this one, so that a request is not reported as not run
  * because only its last attempt did not. [expected] is how long another attempt is expected to take from its start to
  * its last byte. [endpointRetryAfter] is the time after which the endpoint itself wants to be called again. A model is
- * budgeted under its name as a [service].
+ * budgeted under its name as a [service]. [cost] is the work that the other attempt adds, as a part of the work of a
+ * whole request: a stream that is resumed repeats only the prefill of what was delivered.
+ *
+ * @throws IllegalArgumentException if [cost] is not between 0 and 1.
  */
 public data class AttemptFailure(
     public val team: TeamId,
@@ -30,7 +33,12 @@
     public val deadline: Timestamp,
     public val expected: Duration,
     public val endpointRetryAfter: Duration? = null,
+    public val cost: Double = 1.0,
 ) {
+    init {
+        require(cost in 0.0..1.0) { "cost is $cost, must be from 0 to 1" }
+    }
+
     /** Whether this attempt or an earlier one may have run. */
     public val mayHaveRun: Boolean get() = earlierMayHaveRun || (reachedEndpoint && !saidNotRun)
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryBudget.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryBudget.kt
@@ -7,15 +7,16 @@
  *
  * A retry is allowed while the retries of the window, with this one, are within the ratio. A source with too few
  * requests in a window for one retry has a credit instead, which grows by the ratio with each request up to one retry.
+ * The credit starts at one retry, because an instance that has just started would otherwise give up its first failures.
  */
 internal class RetryBudget(
     private val settings: RetrySettings,
 ) {
     private val slotNanos = settings.window.inWholeNanoseconds / SLOTS
     private val admitted = IntArray(SLOTS)
-    private val retried = IntArray(SLOTS)
+    private val retried = DoubleArray(SLOTS)
     private var slot = Long.MIN_VALUE
-    private var credit = 0.0
+    private var credit = 1.0
 
     fun admitted(now: Timestamp) {
         advance(now)
@@ -23,16 +24,22 @@
         credit = minOf(1.0, credit + settings.ratio)
     }
 
-    fun allows(now: Timestamp): Boolean {
+    fun allows(
+        now: Timestamp,
+        cost: Double,
+    ): Boolean {
         advance(now)
         val share = settings.ratio * admitted.sum()
-        return if (share >= 1) retried.sum() + 1 <= share + ROUNDING else credit >= 1 - ROUNDING
+        return if (share >= 1) retried.sum() + cost <= share + ROUNDING else credit >= cost - ROUNDING
     }
 
-    fun spend(now: Timestamp) {
+    fun spend(
+        now: Timestamp,
+        cost: Double,
+    ) {
         advance(now)
-        retried[index()]++
-        credit = maxOf(0.0, credit - 1)
+        retried[index()] += cost
+        credit = maxOf(0.0, credit - cost)
     }
 
     private fun index() = Math.floorMod(slot, SLOTS)
@@ -44,7 +51,7 @@
         for (age in 0 until passed) {
             val stale = Math.floorMod(current - age, SLOTS)
             admitted[stale] = 0
-            retried[stale] = 0
+            retried[stale] = 0.0
         }
         slot = current
     }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
@@ -53,13 +53,13 @@
                 answer(failure, RefusalReason.DEADLINE_UNREACHABLE)
             }
 
-            !team.allows(now) || !service.allows(now) -> {
+            !team.allows(now, failure.cost) || !service.allows(now, failure.cost) -> {
                 answer(failure, RefusalReason.RETRY_BUDGET_EXHAUSTED)
             }
 
             else -> {
-                team.spend(now)
-                service.spend(now)
+                team.spend(now, failure.cost)
+                service.spend(now, failure.cost)
                 RetryDecision.Retry(failure.reason, after)
             }
         }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/retry/RetryPolicyTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/retry/RetryPolicyTest.kt
@@ -133,4 +133,28 @@
         }
         expectThat(decisions).isGreaterThan(1_000)
     }
+
+    @Test
+    fun `guards against giving up the first failure of an instance that has just started`() {
+        val policy = RetryPolicy()
+        policy.admitted(start, failure.team, failure.service)
+
+        expectThat(policy.decide(start, failure)).isA<RetryDecision.Retry>()
+        expectThat(policy.decide(start, failure)).isA<RetryDecision.Answer>()
+    }
+
+    @Test
+    fun `guards against losing streams in progress when one stage takes a third of them with it`() {
+        val policy = RetryPolicy()
+        repeat(STREAMS) { policy.admitted(start, failure.team, failure.service) }
+
+        val resumed = failure.copy(reachedEndpoint = true, cost = 0.1)
+        val decisions = (1..STREAMS / 3).map { policy.decide(start + 1.seconds, resumed) }
+
+        expectThat(decisions.count { it is RetryDecision.Retry }).isEqualTo(STREAMS / 3)
+    }
+
+    private companion object {
+        const val STREAMS = 99
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.JsonObject
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.contract.KeyDigest
+import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.lifecycle.ShutdownAction
 import oriolespindle.core.lifecycle.ShutdownSettings
@@ -20,15 +21,18 @@
 import oriolespindle.router.lifecycle.ShutdownCoordinator
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.peer.PeerNetwork
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.platform.PlatformInstance
 import oriolespindle.router.request.ModelRoutes
 import oriolespindle.router.request.RequestComponent
 import oriolespindle.router.request.RequestContext
+import oriolespindle.router.request.RequestListeners
 import oriolespindle.router.request.RequestMessage
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.settings.Settings
 import oriolespindle.router.state.StateComponent
+import oriolespindle.router.state.StateListeners
 import java.util.concurrent.Executors
 import java.util.random.RandomGenerator
 
@@ -38,27 +42,32 @@
     private val onStopped: () -> Unit,
 ) {
     private val group = MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory())
-    private val random = RandomGenerator.of("L64X128MixRandom")
     private val metrics = Metrics()
     private val timers = TimerService()
     private val http = HttpClient(group)
     private val platform = PlatformClient(http, settings.platform, settings.platformTimeout, metrics::platformCall)
     private val planning = Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }
-    private val requests = RequestComponent(metrics, random::nextDouble, ::requestContext, ::modelRoutes)
+    private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
+    private val shutdown = ShutdownCoordinator(shutdownSettings(), timers, ::perform)
+    private val requests: RequestComponent = requestComponent()
+    private val peers =
+        PeerNetwork(settings, { from, message -> state.received(from, message) }, { state.connected(it) })
+    private val state: StateComponent =
+        StateComponent(platform, timers, self(), newRandom(), metrics, peers, stateListeners())
     private val poller =
         LoadPoller(http, settings.loadPollInterval * POLL_TIMEOUT_FACTOR) { endpoint, answer ->
             requests.load(RequestMessage.Load(endpoint, answer))
         }
-    private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
-    private val state =
-        StateComponent(platform, timers, self(), metrics, requests::changed, requests::listed, ::operatorsChanged)
-    private val shutdown = ShutdownCoordinator(shutdownSettings(), timers, ::perform)
     private val callers = HttpServer(group, observer = CallerObserver(), handler = requests::arrived)
-    private val administrationApi = AdministrationApi(metrics, operators, ObjectApi(state), ::isReady, ::status)
+    private val administrationApi = AdministrationApi(metrics, operators, ObjectApi(state), state, ::isReady, ::status)
     private val administration = HttpServer(group, handler = administrationApi::handle)
 
+    @Volatile
+    private var liveInstances: Set<InstanceId> = emptySet()
+
     fun start() {
         requests.start()
+        peers.start()
         state.start()
         val callerAddress = callers.bind(settings.callers)
         val administrationAddress = administration.bind(settings.administration)
@@ -73,32 +82,62 @@
         timers.every(settings.loadPollInterval) { http.closeExpired() }
     }
 
+    /** Ends the instance once every request in flight has its answer; `onStopped` is called then. */
+    fun shutDown() {
+        EventLog.info("shutdown requested", "instance" to settings.instance)
+        shutdown.request()
+    }
+
+    private fun isReady(): Boolean = requests.isReady && shutdown.isReady
+
     /** Collects the status of each component on that component's own thread. */
     private fun status(answer: (JsonObject) -> Unit) {
-        state.read { cache ->
-            val configuration = StatusReport.configuration(cache)
+        state.report { configuration ->
             requests.status { routing ->
                 answer(StatusReport.whole(settings, configuration, routing))
             }
         }
     }
 
-    private fun operatorsChanged(items: List<StoredObject>) {
-        operators.replace(items.mapNotNull { item -> item.value?.let(OperatorValue::parseOrNull) })
+    private fun requestComponent(): RequestComponent {
+        val random = newRandom()
+        return RequestComponent(
+            metrics = metrics,
+            jitter = random::nextDouble,
+            isLive = { it in liveInstances },
+            listeners = RequestListeners({ state.contracts(it) }, { state.used(it) }),
+            createContext = ::requestContext,
+            createRoutes = { context, onPlanned -> modelRoutes(context, random, onPlanned) },
+        )
     }
 
-    private fun isReady(): Boolean = requests.isReady && shutdown.isReady
+    private fun stateListeners(): StateListeners =
+        StateListeners(
+            changed = requests::changed,
+            listed = requests::listed,
+            operators = ::operatorsChanged,
+            members = { liveInstances = it },
+            shares = requests::shares,
+            paused = requests::wokeFromPause,
+            removed = ::removed,
+            evidence = {},
+        )
 
-    /** Ends the instance once every request in flight has its answer; `onStopped` is called then. */
-    fun shutDown() {
-        EventLog.info("shutdown requested", "instance" to settings.instance)
-        shutdown.request()
+    /** The platform has terminated this instance and its units belong to others, so it can only end. */
+    private fun removed() {
+        EventLog.warn("this instance was removed from the allotment", "instance" to settings.instance)
+        shutDown()
+    }
+
+    private fun operatorsChanged(items: List<StoredObject>) {
+        operators.replace(items.mapNotNull { item -> item.value?.let(OperatorValue::parseOrNull) })
     }
 
     private fun perform(action: ShutdownAction) {
         when (action) {
             is ShutdownAction.ReportUnready -> {
                 callers.closing = true
+                state.leave()
                 platform.register(self().copy(state = "leaving")) { }
             }
 
@@ -126,14 +165,6 @@
         )
     }
 
-    private inner class CallerObserver : ConnectionObserver {
-        override fun opened() = shutdown.connectionOpened()
-
-        override fun started(request: RequestId) = shutdown.started(request)
-
-        override fun finished(request: RequestId) = shutdown.finished(request)
-    }
-
     private fun self(): PlatformInstance =
         PlatformInstance(
             id = settings.instance.value,
@@ -158,6 +189,7 @@
 
     private fun modelRoutes(
         context: RequestContext,
+        random: RandomGenerator,
         onPlanned: () -> Unit,
     ): ModelRoutes =
         ModelRoutes(
@@ -168,6 +200,16 @@
             onPlanned = onPlanned,
         )
 
+    private fun newRandom(): RandomGenerator = RandomGenerator.of("L64X128MixRandom")
+
+    private inner class CallerObserver : ConnectionObserver {
+        override fun opened() = shutdown.connectionOpened()
+
+        override fun started(request: RequestId) = shutdown.started(request)
+
+        override fun finished(request: RequestId) = shutdown.finished(request)
+    }
+
     private companion object {
         const val EVENT_LOOPS = 4
         const val POLL_TIMEOUT_FACTOR = 4
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/AdministrationApi.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/AdministrationApi.kt
@@ -1,15 +1,18 @@
 package oriolespindle.router.administration
 
 import kotlinx.serialization.json.JsonObject
+import oriolespindle.core.config.Revision
 import oriolespindle.router.http.HttpAnswer
 import oriolespindle.router.http.ServerExchange
 import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.state.StateComponent
 
 /** Answers operators, metric collectors and the platform's health checks. */
 internal class AdministrationApi(
     private val metrics: Metrics,
     private val operators: Operators,
     private val objects: ObjectApi,
+    private val state: StateComponent,
     private val ready: () -> Boolean,
     private val status: (answer: (JsonObject) -> Unit) -> Unit,
 ) {
@@ -39,12 +42,26 @@
             role < required -> exchange.respond(AdministrationAnswers.error(STATUS_FORBIDDEN, "needs role $required"))
             isObject -> objects.handle(exchange)
             exchange.path == "/v1/status" -> status { exchange.respond(AdministrationAnswers.json(STATUS_OK, it)) }
+            exchange.path.startsWith(ROLLOUT_PREFIX) -> rollout(exchange)
             else -> exchange.respond(AdministrationAnswers.notFound())
         }
     }
 
+    private fun rollout(exchange: ServerExchange) {
+        val revision = exchange.path.removePrefix(ROLLOUT_PREFIX).toLongOrNull()
+        if (revision == null) {
+            exchange.respond(AdministrationAnswers.error(STATUS_BAD_REQUEST, "the revision must be a number"))
+            return
+        }
+        state.rollout(Revision(revision)) { status ->
+            exchange.respond(AdministrationAnswers.json(STATUS_OK, RolloutReport.of(status)))
+        }
+    }
+
     private companion object {
         const val STATUS_OK = 200
+        const val ROLLOUT_PREFIX = "/v1/rollout/"
+        const val STATUS_BAD_REQUEST = 400
         const val STATUS_UNAUTHORIZED = 401
         const val STATUS_FORBIDDEN = 403
         const val STATUS_UNAVAILABLE = 503
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/StatusReport.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/StatusReport.kt
@@ -4,17 +4,10 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import oriolespindle.core.config.ObjectCache
 import oriolespindle.router.settings.Settings
 
 /** The answer of `GET /v1/status`. */
 internal object StatusReport {
-    fun configuration(cache: ObjectCache): JsonObject =
-        buildJsonObject {
-            put("revision", cache.revision.value)
-            put("contentHash", java.lang.Long.toHexString(cache.contentHash))
-        }
-
     fun whole(
         settings: Settings,
         configuration: JsonElement,
@@ -23,7 +16,7 @@
         buildJsonObject {
             put("instance", settings.instance.value)
             put("zone", settings.zone.value)
-            put("configuration", configuration)
+            put("state", configuration)
             put("requests", requests)
         }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -53,6 +53,10 @@
     @Volatile
     var onClosed: () -> Unit = {}
 
+    /** Called once, by the thread that ends the answer or finds its connection closed. */
+    @Volatile
+    var onAnswered: () -> Unit = {}
+
     /** Called on an event loop thread when the connection's write buffer fills or drains. */
     @Volatile
     var onWritable: (Boolean) -> Unit = {}
@@ -67,7 +71,7 @@
 
     /** Sends a whole answer; later calls are ignored. */
     fun respond(answer: HttpAnswer) {
-        if (!ended.compareAndSet(false, true)) return
+        if (!end()) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -99,16 +103,22 @@
     }
 
     fun endStream() {
-        if (ended.compareAndSet(false, true)) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (end()) finish(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
     /** Closes the connection without completing the answer. */
     fun abort() {
-        if (ended.compareAndSet(false, true)) ctx.close()
+        if (end()) ctx.close()
     }
 
     internal fun connectionClosed() {
-        if (ended.compareAndSet(false, true)) onClosed()
+        if (end()) onClosed()
+    }
+
+    private fun end(): Boolean {
+        val first = ended.compareAndSet(false, true)
+        if (first) onAnswered()
+        return first
     }
 
     private fun finish(last: Any) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
@@ -9,6 +9,7 @@
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.limit.ShareMessage
 import oriolespindle.core.membership.Gossip
 
 /**
@@ -81,23 +82,13 @@
         }
     }
 
-    /** What the sender has given to the receiver in total, and what it has received from it. */
+    /** A message of the ledgers that move units of limits; the ledger itself repeats what is lost. */
     @Serializable
-    @SerialName("shares")
-    public data class ShareCounters(
-        public val allotment: Revision,
-        public val counters: List<ShareCounter>,
+    @SerialName("share")
+    public data class Share(
+        public val content: ShareMessage,
     ) : PeerMessage()
 
-    /** The units that the sender asks the receiver for. */
-    @Serializable
-    @SerialName("want")
-    public data class ShareWant(
-        public val wants: List<ShareRequest>,
-    ) : PeerMessage() {
-        override val gossip: Boolean get() = true
-    }
-
     /** Which requests were in flight when endpoints crashed. */
     @Serializable
     @SerialName("evidence")
@@ -124,30 +115,6 @@
     public val address: String,
 )
 
-/** The counters of one limit between the sender and the receiver of a message; both only rise. */
-@Serializable
-public data class ShareCounter(
-    @SerialName("t")
-    public val team: TeamId,
-    @SerialName("l")
-    public val limit: String,
-    @SerialName("g")
-    public val given: Long,
-    @SerialName("r")
-    public val received: Long,
-)
-
-/** A request for [units] of one limit. */
-@Serializable
-public data class ShareRequest(
-    @SerialName("t")
-    public val team: TeamId,
-    @SerialName("l")
-    public val limit: String,
-    @SerialName("u")
-    public val units: Long,
-)
-
 /** One crash of [endpoint] in which the request with [fingerprint] was one of [suspects] requests in flight. */
 @Serializable
 public data class EvidenceItem(
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerNetwork.kt
@@ -0,0 +1,55 @@
+package oriolespindle.router.peer
+
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.router.settings.Settings
+import oriolespindle.router.state.PeerSender
+
+/** The transport of this instance with the settings of the process. */
+internal class PeerNetwork(
+    private val settings: Settings,
+    onMessage: (InstanceId, PeerMessage) -> Unit,
+    onPeer: (PeerIdentity) -> Unit,
+) : PeerSender,
+    AutoCloseable {
+    private val transport =
+        PeerTransport(
+            identity = identity(settings.instance, settings.zone),
+            settings =
+                PeerTransportSettings(
+                    listenHost = settings.peers.host,
+                    listenPort = settings.peers.port,
+                    fleetKey = FleetKey(settings.fleetKey.value.toByteArray()),
+                ),
+            onMessage = onMessage,
+            onPeer = onPeer,
+        )
+
+    /** Accepts peers and contacts those that the settings name. */
+    fun start() {
+        transport.start()
+        settings.seedPeers.forEach { transport.contact(it.toString()) }
+    }
+
+    override fun connect(
+        peer: InstanceId,
+        address: String,
+    ) = transport.connect(peer, address)
+
+    override fun send(
+        peer: InstanceId,
+        message: PeerMessage,
+    ) {
+        // A peer that is not known yet is like one that does not answer: senders repeat what matters.
+        transport.send(peer, message)
+    }
+
+    override fun forget(peer: InstanceId) = transport.forget(peer)
+
+    override fun close() = transport.close()
+
+    private fun identity(
+        instance: InstanceId,
+        zone: ZoneId,
+    ) = PeerIdentity(instance, incarnation = 0, zone = zone, address = settings.peers.toString())
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
@@ -118,7 +118,11 @@
         when (status) {
             in SUCCESS -> decode(serializer, body)?.let { PlatformResult.Ok(it) } ?: PlatformResult.Unavailable(true)
             NOT_FOUND -> PlatformResult.NotFound
-            PRECONDITION_FAILED -> PlatformResult.Conflict(decode(PlatformObject.serializer(), body))
+            // The platform describes an object that does not exist by version 0.
+            PRECONDITION_FAILED -> {
+                PlatformResult.Conflict(decode(PlatformObject.serializer(), body)?.takeIf { it.version > 0 })
+            }
+
             NOT_SENT -> PlatformResult.Unavailable(maybeApplied = false)
             else -> PlatformResult.Unavailable(maybeApplied = request.method != "GET")
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ClaimedCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ClaimedCall.kt
@@ -28,6 +28,7 @@
     private val deadline: Timestamp,
     private val servers: () -> List<ServiceEndpoint>,
     private val answer: (ClaimOutcome) -> Unit,
+    private val onFinished: () -> Unit,
 ) {
     private var workEnded = false
 
@@ -43,6 +44,7 @@
         if (machine.finished && !workEnded) {
             workEnded = true
             context.workFinished(work)
+            onFinished()
         }
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionResponder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionResponder.kt
@@ -24,14 +24,23 @@
     private var source: ClientCall? = null
 
     init {
-        exchange.onWritable = { writable -> if (writable) source?.resumeReading() else source?.pauseReading() }
+        exchange.onWritable = ::writable
     }
 
+    /** Whether the caller reads too slowly, so that reading from the engine is paused. */
+    @Volatile
+    var isPaused: Boolean = false
+        private set
+
     /** Names the call that feeds this answer, so that a caller that reads slowly slows it down. */
     fun fedBy(call: ClientCall) {
         source = call
-        if (!exchange.isWritable) call.pauseReading()
-        if (exchange.isWritable) call.resumeReading()
+        writable(exchange.isWritable)
+    }
+
+    private fun writable(writable: Boolean) {
+        isPaused = !writable
+        if (writable) source?.resumeReading() else source?.pauseReading()
     }
 
     fun tokens(tokens: List<StreamToken>) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -2,66 +2,70 @@
 
 import oriolespindle.core.chain.Chain
 import oriolespindle.core.chain.ChainChoice
-import oriolespindle.core.chain.PrefixHash
 import oriolespindle.core.chain.RouteQuery
 import oriolespindle.core.id.AttemptNumber
 import oriolespindle.core.id.EndpointId
-import oriolespindle.core.id.ServiceId
 import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.outcome.RetryReason
 import oriolespindle.core.outcome.UnknownReason
-import oriolespindle.core.retry.AttemptFailure
-import oriolespindle.core.retry.RetryDecision
-import oriolespindle.core.retry.RetryPolicy
+import oriolespindle.core.stream.GapDetector
+import oriolespindle.core.stream.GapVerdict
+import oriolespindle.core.stream.StageCache
 import oriolespindle.core.stream.StreamAssembler
 import oriolespindle.core.stream.StreamEvent
 import oriolespindle.core.stream.StreamResult
 import oriolespindle.core.stream.StreamToken
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.endpoint.EngineSignal
-import oriolespindle.router.endpoint.EngineStream
-import oriolespindle.router.endpoint.PipelineRequest
-import oriolespindle.router.endpoint.PipelineStage
-import oriolespindle.router.http.Address
 import oriolespindle.router.http.ClientCall
-import oriolespindle.router.http.ClientRequest
 import oriolespindle.router.logging.EventLog
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 /** One completion from its first attempt to its final answer. */
 internal class CompletionSession(
     private val context: RequestContext,
     private val routes: ModelRoutes,
     private val endpoints: EndpointStates,
-    private val retries: RetryPolicy,
+    private val sender: AttemptSender,
+    private val recovery: StreamRecovery,
     private val caller: CallerRequest,
     private val request: CompletionRequest,
+    private val query: RouteQuery,
     private val onFinished: (CompletionSession) -> Unit,
 ) {
     val id = caller.id
+
+    /** The tokens that the caller has received or will receive. */
+    val deliveredTokens: Int get() = delivered.size
     private val assembler = StreamAssembler(caller.id)
     private val responder = CompletionResponder(caller.exchange, caller.id, request.stream)
     private val delivered = ArrayList<StreamToken>()
-    private var attempt = AttemptNumber(0)
+    private var attempt: Attempt? = null
     private var call: ClientCall? = null
-    private val avoid = HashSet<EndpointId>()
-    private val budgetName = ServiceId(request.model.value)
-    private var current: Chain? = null
-    private var expected = Duration.ZERO
-    private var mayHaveRun = false
+    private var gaps: GapDetector? = null
+    private var gapCheckDue = Timestamp.ZERO
+    private var wasPaused = false
+    private var lastTokenAt: Timestamp? = null
+    private var failedAt: Timestamp? = null
     private var finished = false
 
     fun start() {
-        retries.admitted(context.now(), caller.contract.team, budgetName)
-        tryNext()
+        recovery.admitted()
+        when (val choice = routes.selector(request.model)?.choose(context.now(), query)) {
+            is ChainChoice.Chosen -> send(choice.chain, choice.chain.stages.map { StageCache.Recompute })
+            is ChainChoice.Unavailable -> end(noChain(choice.reason, "no chain of endpoints covers all layers"))
+            null -> end(noChain(RefusalReason.UNKNOWN_MODEL, "model '${request.model.value}' has no plan"))
+        }
     }
 
     fun engine(
         number: AttemptNumber,
         signal: EngineSignal,
     ) {
-        if (finished || number != attempt) return
+        if (finished || number != attempt?.number) return
         when (signal) {
             is EngineSignal.Lines -> signal.events.forEach(::stream)
             is EngineSignal.Refused -> refusedByEngine(signal.reason)
@@ -70,89 +74,45 @@
         }
     }
 
-    /** Ends the work for a caller that has closed its connection. */
-    fun callerGone() {
-        if (!finished) finish()
-    }
-
-    private fun tryNext() {
-        when (val choice = choose()) {
-            is ChainChoice.Chosen -> send(choice)
-            is ChainChoice.Unavailable -> end(noChain(choice.reason, "no chain of endpoints covers all layers"))
-            null -> end(noChain(RefusalReason.UNKNOWN_MODEL, "model '${request.model.value}' has no plan"))
+    /** Judges the time since the last token. */
+    fun tick(now: Timestamp) {
+        val detector = gaps ?: return
+        if (responder.isPaused != wasPaused) {
+            wasPaused = responder.isPaused
+            if (wasPaused) detector.pause(now) else detector.resume(now)
         }
+        if (now < gapCheckDue) return
+        val verdict = detector.check(now)
+        gapCheckDue = detector.nextCheck(now)
+        if (verdict is GapVerdict.Suspicious) suspectGap(verdict)
     }
 
-    private fun choose(): ChainChoice? {
-        val query =
-            RouteQuery(
-                request = id,
-                model = request.model,
-                prefix =
-                    PrefixHash(
-                        request.prompt
-                            .take(PREFIX_CHARS)
-                            .hashCode()
-                            .toLong(),
-                    ),
-                promptTokens = request.promptTokens,
-                maxTokens = request.maxTokens,
-                priority = request.priority,
-                zone = context.zone,
-                avoid = avoid,
-            )
-        return routes.selector(request.model)?.choose(context.now(), query)
+    /** Ends the work for a caller that has closed its connection. */
+    fun callerGone() {
+        if (!finished) finish()
     }
 
-    /** The outcome without a chain: once an attempt may have run, the request cannot be reported as not run. */
-    private fun noChain(
-        reason: RefusalReason,
-        message: String,
-    ): CallOutcome =
-        if (mayHaveRun) {
-            CallOutcome.Unknown(UnknownReason.STREAM_LOST, message)
-        } else {
-            CallOutcome.NotRun(reason, message, NO_CHAIN_RETRY.takeIf { reason.retryable })
-        }
-
-    private fun send(choice: ChainChoice.Chosen) {
-        val chain = choice.chain
-        val number = attempt.next()
-        val stages = chain.stages.map { stage -> stage to context.directory.engine(stage.endpoint) }
-        if (stages.any { it.second == null }) {
+    private fun send(
+        chain: Chain,
+        cache: List<StageCache>,
+    ) {
+        val now = context.now()
+        val number = attempt?.number?.next() ?: AttemptNumber.FIRST
+        val next = Attempt(id, number, chain, cache)
+        val sent = sender.send(next, request, delivered)
+        if (sent == null) {
             end(noChain(RefusalReason.NO_CHAIN, "an endpoint of the chosen chain has left"))
             return
         }
-        attempt = number
-        current = chain
-        expected = choice.expectedCompletion
-        assembler.attempt(context.now(), number, chain, delivered.size)
-        routes.selector(request.model)?.started(context.now(), id, chain, request.maxTokens)
-        val body =
-            PipelineRequest(
-                request = id.value,
-                attempt = number.value,
-                model = request.model.value,
-                prompt = request.prompt,
-                maxTokens = request.maxTokens,
-                priority = request.priority,
-                from = delivered.size,
-                prefix = delivered.map { it.text },
-                stages =
-                    stages.map { (stage, spec) ->
-                        PipelineStage(stage.endpoint.value, spec!!.address, stage.layers.first, stage.layers.end)
-                    },
-            )
-        val stream = EngineStream(id, number) { context.offer(RequestMessage.Engine(id, number, it)) }
-        val http =
-            ClientRequest(
-                address = Address.parse(body.stages.first().address),
-                method = "POST",
-                uri = "/v1/pipeline",
-                body = EngineStream.json.encodeToString(PipelineRequest.serializer(), body).toByteArray(),
-            )
-        val sent = context.http.send(http, timeout = null, listener = stream::handle)
+        attempt = next
         call = sent
+        assembler.attempt(now, number, chain, delivered.size)
+        routes.selector(request.model)?.started(now, id, chain, request.maxTokens - delivered.size)
+        val detector = routes.gapDetector(chain)
+        detector.started(now)
+        gaps = detector
+        gapCheckDue = detector.nextCheck(now)
+        wasPaused = false
         responder.fedBy(sent)
     }
 
@@ -167,11 +127,27 @@
     }
 
     private fun deliver(tokens: List<StreamToken>) {
+        val now = context.now()
         delivered.addAll(tokens)
+        gaps?.token(now)
+        gaps?.let { gapCheckDue = it.nextCheck(now) }
+        measure(now)
         context.metrics.tokensDelivered(tokens.size)
         responder.tokens(tokens)
     }
 
+    private fun measure(now: Timestamp) {
+        val last = lastTokenAt
+        if (last == null) {
+            context.metrics.firstToken.record((now - caller.arrived).toJavaDuration())
+        } else {
+            context.metrics.tokenGap.record((now - last).toJavaDuration())
+        }
+        failedAt?.let { context.metrics.recovery.record((now - it).toJavaDuration()) }
+        failedAt = null
+        lastTokenAt = now
+    }
+
     private fun complete(count: Int) {
         context.metrics.done()
         responder.complete(count)
@@ -179,10 +155,28 @@
         finish()
     }
 
+    private fun suspectGap(verdict: GapVerdict.Suspicious) {
+        EventLog.warn(
+            "stream is silent",
+            "request" to id,
+            "team" to caller.contract.team,
+            "attempt" to attempt?.number?.value,
+            "gap" to verdict.gap,
+            "limit" to verdict.limit,
+        )
+        gaps = null
+        recover(RetryReason.TOKEN_GAP, endpoint = null, reached = true, saidNotRun = false)
+    }
+
     private fun refusedByEngine(reason: String) {
         val endpoint = headEndpoint()
         if (reason == "draining" && endpoint != null) endpoints.refusedAsDraining(context.now(), endpoint)
-        val why = if (reason == "draining") RetryReason.ENDPOINT_LEAVING else RetryReason.ENDPOINT_BUSY
+        val why =
+            when (reason) {
+                "draining" -> RetryReason.ENDPOINT_LEAVING
+                "bad_chain" -> RetryReason.TRUNCATED_ANSWER
+                else -> RetryReason.ENDPOINT_BUSY
+            }
         failed(why, endpoint, reached = true, saidNotRun = true)
     }
 
@@ -191,57 +185,104 @@
         failed(reason, headEndpoint(), reached = signal.sent)
     }
 
-    private fun headEndpoint(): EndpointId? = current?.stages?.first()?.endpoint
+    private fun headEndpoint(): EndpointId? =
+        attempt
+            ?.chain
+            ?.stages
+            ?.first()
+            ?.endpoint
 
-    /** Ends the current attempt and starts another one from the last delivered token, or gives the final answer. */
+    /** Ends the current attempt and goes on from the last delivered token, or gives the final answer. */
     private fun failed(
         reason: RetryReason,
         endpoint: EndpointId?,
         reached: Boolean = true,
         saidNotRun: Boolean = false,
     ) {
-        call?.cancel()
-        call = null
-        endpoint?.let { avoid += it }
-        val failure =
-            AttemptFailure(
-                team = caller.contract.team,
-                service = budgetName,
-                attempt = attempt,
-                reason = reason,
-                idempotent = true,
-                reachedEndpoint = reached,
-                saidNotRun = saidNotRun,
-                earlierMayHaveRun = mayHaveRun,
-                deadline = caller.deadline,
-                expected = expected,
-            )
-        mayHaveRun = failure.mayHaveRun
         EventLog.warn(
             "attempt failed",
             "request" to id,
             "team" to caller.contract.team,
             "endpoint" to endpoint,
-            "attempt" to attempt.value,
+            "attempt" to attempt?.number?.value,
             "reason" to reason.code,
             "delivered" to delivered.size,
         )
-        when (val decision = retries.decide(context.now(), failure)) {
-            is RetryDecision.Answer -> end(decision.outcome)
-            is RetryDecision.Retry -> retry(decision)
+        abandonAttempt()
+        recover(reason, endpoint, reached, saidNotRun)
+    }
+
+    private fun abandonAttempt() {
+        call?.cancel()
+        call = null
+        gaps = null
+    }
+
+    private fun recover(
+        reason: RetryReason,
+        endpoint: EndpointId?,
+        reached: Boolean,
+        saidNotRun: Boolean,
+    ) {
+        val last = checkNotNull(attempt) { "request $id failed before its first attempt" }
+        if (failedAt == null) failedAt = lastTokenAt ?: caller.arrived
+        val failed = FailedAttempt(last.number, last.chain, reason, endpoint, delivered.size, reached, saidNotRun)
+        recovery.recover(failed) { decided -> if (!finished && attempt === last) follow(last, failed, decided) }
+    }
+
+    private fun follow(
+        last: Attempt,
+        failed: FailedAttempt,
+        decided: Recovery,
+    ) {
+        val wasSilent = failed.reason == RetryReason.TOKEN_GAP
+        if (wasSilent && delivered.size > failed.delivered) {
+            // Tokens arrived while the endpoints were probed, so the attempt never failed.
+            watchAgain(last.chain)
+            return
+        }
+        when (decided) {
+            is Recovery.Continue -> watchAgain(last.chain)
+            is Recovery.End -> end(decided.outcome)
+            is Recovery.Resume -> resume(last, decided)
         }
     }
 
-    private fun retry(decision: RetryDecision.Retry) {
-        context.metrics.retried(decision.reason)
-        val number = attempt
-        if (decision.after > Duration.ZERO) {
-            context.continueAfter(decision.after) { if (!finished && attempt == number) tryNext() }
+    private fun watchAgain(chain: Chain) {
+        val now = context.now()
+        failedAt = null
+        val detector = routes.gapDetector(chain)
+        detector.token(now)
+        gaps = detector
+        gapCheckDue = detector.nextCheck(now)
+    }
+
+    private fun resume(
+        last: Attempt,
+        decided: Recovery.Resume,
+    ) {
+        abandonAttempt()
+        val repair = decided.repair
+        if (decided.after > Duration.ZERO) {
+            context.continueAfter(decided.after) {
+                if (!finished && attempt === last) send(repair.chain, repair.cache)
+            }
         } else {
-            tryNext()
+            send(repair.chain, repair.cache)
         }
     }
 
+    /** The outcome without a chain: once an attempt was made, the request cannot be reported as not run. */
+    private fun noChain(
+        reason: RefusalReason,
+        message: String,
+    ): CallOutcome =
+        if (attempt != null) {
+            CallOutcome.Unknown(UnknownReason.STREAM_LOST, message)
+        } else {
+            CallOutcome.NotRun(reason, message, NO_CHAIN_RETRY.takeIf { reason.retryable })
+        }
+
     private fun end(outcome: CallOutcome) {
         when (outcome) {
             is CallOutcome.NotRun -> context.metrics.refused(outcome.reason)
@@ -254,15 +295,12 @@
 
     private fun finish() {
         finished = true
-        call?.cancel()
-        call = null
+        abandonAttempt()
         routes.selector(request.model)?.finished(context.now(), id)
         onFinished(this)
     }
 
     private companion object {
-        /** Prompts that share this much are expected to share a cached prefix. */
-        const val PREFIX_CHARS = 256
         val NO_CHAIN_RETRY = 1.seconds
     }
 }
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
@@ -0,0 +1,131 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.chain.PrefixHash
+import oriolespindle.core.chain.RouteQuery
+import oriolespindle.core.id.AttemptNumber
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.limit.Permit
+import oriolespindle.core.limit.TokenCost
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.retry.RetryPolicy
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.endpoint.EngineSignal
+
+/** The completions in progress at this instance. */
+internal class Completions(
+    private val context: RequestContext,
+    private val routes: ModelRoutes,
+    private val endpoints: EndpointStates,
+    private val retries: RetryPolicy,
+    private val admission: Admission,
+) {
+    private val sender = AttemptSender(context)
+    private val probe = EndpointProbe(context)
+    private val sessions = HashMap<RequestId, CompletionSession>()
+
+    val inProgress: Int get() = sessions.size
+
+    fun handle(caller: CallerRequest) {
+        when (val parsed = CompletionParser.parse(caller.exchange.body, caller.contract)) {
+            is CompletionParse.Refused -> refuse(caller, parsed.outcome)
+            is CompletionParse.Valid -> admit(caller, parsed.request)
+        }
+    }
+
+    private fun admit(
+        caller: CallerRequest,
+        request: CompletionRequest,
+    ) {
+        val cost = TokenCost(request.promptTokens, request.maxTokens)
+        admission.admit(
+            caller = caller,
+            cost = cost,
+            admitted = { permit -> start(caller, request, permit) },
+            refused = { outcome -> refuse(caller, outcome) },
+        )
+    }
+
+    private fun refuse(
+        caller: CallerRequest,
+        outcome: CallOutcome.NotRun,
+    ) {
+        context.metrics.refused(outcome.reason)
+        caller.exchange.respond(Answers.notRun(caller.id, outcome))
+    }
+
+    fun engine(
+        request: RequestId,
+        attempt: AttemptNumber,
+        signal: EngineSignal,
+    ) {
+        sessions[request]?.engine(attempt, signal)
+    }
+
+    fun callerGone(request: RequestId) {
+        sessions[request]?.callerGone()
+    }
+
+    fun tick(now: Timestamp) {
+        // A tick can end a session, which removes it from the map.
+        sessions.values.toList().forEach { it.tick(now) }
+    }
+
+    private fun start(
+        caller: CallerRequest,
+        request: CompletionRequest,
+        permit: Permit,
+    ) {
+        val query = query(caller, request)
+        val team = caller.contract.team
+        val recovery = StreamRecovery(context, routes, retries, probe, team, query, caller.deadline)
+        val session =
+            CompletionSession(
+                context = context,
+                routes = routes,
+                endpoints = endpoints,
+                sender = sender,
+                recovery = recovery,
+                caller = caller,
+                request = request,
+                query = query,
+                onFinished = { ended(it, request, permit) },
+            )
+        sessions[caller.id] = session
+        caller.exchange.onClosed = { context.post(RequestMessage.CallerGone(caller.id)) }
+        session.start()
+    }
+
+    private fun ended(
+        session: CompletionSession,
+        request: CompletionRequest,
+        permit: Permit,
+    ) {
+        sessions.remove(session.id)
+        admission.settle(permit, TokenCost(request.promptTokens, session.deliveredTokens))
+    }
+
+    private fun query(
+        caller: CallerRequest,
+        request: CompletionRequest,
+    ): RouteQuery =
+        RouteQuery(
+            request = caller.id,
+            model = request.model,
+            prefix =
+                PrefixHash(
+                    request.prompt
+                        .take(PREFIX_CHARS)
+                        .hashCode()
+                        .toLong(),
+                ),
+            promptTokens = request.promptTokens,
+            maxTokens = request.maxTokens,
+            priority = request.priority,
+            zone = context.zone,
+        )
+
+    private companion object {
+        /** Prompts that share this much are expected to share a cached prefix. */
+        const val PREFIX_CHARS = 256
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/EndpointProbe.kt
@@ -0,0 +1,49 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.stream.ProbeResult
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientRequest
+import kotlin.time.Duration
+
+/** Asks endpoints on new connections whether they still answer. */
+internal class EndpointProbe(
+    private val context: RequestContext,
+) {
+    /** Probes [endpoints]; [result] runs on the request component's thread once all have answered or timed out. */
+    fun run(
+        endpoints: List<EndpointId>,
+        timeout: Duration,
+        result: (ProbeResult) -> Unit,
+    ) {
+        val answered = HashSet<EndpointId>()
+        val silent = HashSet<EndpointId>()
+        for (endpoint in endpoints) {
+            probe(endpoint, timeout) { alive ->
+                (if (alive) answered else silent) += endpoint
+                if (answered.size + silent.size == endpoints.size) result(ProbeResult(answered, silent))
+            }
+        }
+    }
+
+    private fun probe(
+        endpoint: EndpointId,
+        timeout: Duration,
+        result: (Boolean) -> Unit,
+    ) {
+        val address = context.directory.engine(endpoint)?.let { Address.parseOrNull(it.address) }
+        if (address == null) {
+            context.continueWith { result(false) }
+            return
+        }
+        context.http.send(ClientRequest(address, "GET", "/v1/load", freshConnection = true), timeout) { event ->
+            when (event) {
+                is ClientEvent.Head, is ClientEvent.Data -> Unit
+                is ClientEvent.End -> context.continueWith { result(true) }
+                is ClientEvent.Failed -> context.continueWith { result(false) }
+            }
+            true
+        }
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.request
 
+import oriolespindle.core.chain.Chain
 import oriolespindle.core.chain.ChainPlan
 import oriolespindle.core.chain.ChainPlanner
 import oriolespindle.core.chain.ChainSelector
@@ -7,6 +8,9 @@
 import oriolespindle.core.chain.Topology
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ModelId
+import oriolespindle.core.stream.ChainGaps
+import oriolespindle.core.stream.GapDetector
+import oriolespindle.core.stream.GapSettings
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.logging.EventLog
 import java.util.concurrent.Executor
@@ -27,6 +31,11 @@
 ) {
     private val selectors = HashMap<ModelId, ChainSelector>()
     private val generations = HashMap<ModelId, Int>()
+    private val gapSettings = GapSettings()
+    private val gaps =
+        object : LinkedHashMap<Chain, ChainGaps>(16, 0.75f, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<Chain, ChainGaps>): Boolean = size > MEASURED_CHAINS
+        }
     private val plans = HashMap<ModelId, ChainPlan>()
 
     /** The number of plans that are being computed. */
@@ -35,6 +44,12 @@
 
     fun selector(model: ModelId): ChainSelector? = selectors[model]
 
+    /** Returns a detector that judges by the gaps of all streams of [chain]. */
+    fun gapDetector(chain: Chain): GapDetector {
+        val measured = gaps.getOrPut(chain) { ChainGaps(gapSettings) }
+        return GapDetector(gapSettings, measured)
+    }
+
     fun plan(model: ModelId): ChainPlan? = plans[model]
 
     fun all(): Collection<ChainSelector> = selectors.values
@@ -73,4 +88,9 @@
         plans[model] = plan
         EventLog.info("model planned", "model" to model, "chains" to plan.chains.size, "bound" to plan.bound)
     }
+
+    private companion object {
+        /** Bounds the memory for measured gaps; a chain that was forgotten starts from the prior again. */
+        const val MEASURED_CHAINS = 512
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -6,12 +6,16 @@
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ModelId
-import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
+import oriolespindle.core.limit.ShareUpdate
+import oriolespindle.core.limit.TeamSlots
+import oriolespindle.core.limit.UsageReport
 import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.retry.RetryPolicy
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.endpoint.LoadPoller
 import oriolespindle.router.http.Address
 import oriolespindle.router.http.ServerExchange
@@ -20,10 +24,18 @@
 import oriolespindle.router.runtime.Component
 import kotlin.time.Duration.Companion.milliseconds
 
+/** What the request component tells the other parts; the functions are called on its thread and must not block. */
+internal class RequestListeners(
+    val contracts: (List<TeamSlots>) -> Unit,
+    val used: (UsageReport) -> Unit,
+)
+
 /** Handles callers' requests from arrival to answer, on one thread. */
 internal class RequestComponent(
     private val metrics: Metrics,
     jitter: () -> Double,
+    isLive: (InstanceId) -> Boolean,
+    private val listeners: RequestListeners,
     createContext: (offer: (RequestMessage) -> Boolean) -> RequestContext,
     createRoutes: (RequestContext, onPlanned: () -> Unit) -> ModelRoutes,
 ) {
@@ -31,12 +43,14 @@
     private val context = createContext(component::offer)
     private val routes = createRoutes(context, ::updateReadiness)
     private val endpoints = EndpointStates(context.directory)
-    private val sessions = HashMap<RequestId, CompletionSession>()
     private val retries = RetryPolicy(jitter = jitter)
-    private val services = ServiceCalls(context, ServiceSender(context, endpoints), retries)
-    private val api = CallerApi(context, ::completion, services::handle)
+    private val admission = Admission(context)
+    private val completions = Completions(context, routes, endpoints, retries, admission)
+    private val services = ServiceCalls(context, ServiceSender(context, endpoints), retries, admission, isLive)
+    private val api = CallerApi(context, completions::handle, services::handle)
 
     private var configured = false
+    private var usageDue = Timestamp(Long.MIN_VALUE)
 
     /** Whether the first configuration is in force and every model has its plan. */
     @Volatile
@@ -62,6 +76,12 @@
         component.offer(RequestMessage.Listed(list))
     }
 
+    /** Takes new shares of limits and answers with what is used of them. */
+    fun shares(update: ShareUpdate) = context.continueWith { listeners.used(admission.apply(update)) }
+
+    /** Learns that this process was paused. */
+    fun wokeFromPause() = context.continueWith { services.wokeFromPause() }
+
     /** Takes changed objects; false means that they must be offered again. */
     fun changed(items: List<StoredObject>): Boolean = component.offer(RequestMessage.Changed(items))
 
@@ -80,14 +100,14 @@
 
     /** Passes a report on requests, models and unusable objects to [answer] on the component's own thread. */
     fun status(answer: (JsonObject) -> Unit) {
-        context.continueWith { answer(RequestStatus.report(context, routes, sessions.size)) }
+        context.continueWith { answer(RequestStatus.report(context, routes, completions.inProgress)) }
     }
 
     private fun handle(message: RequestMessage) {
         when (message) {
             is RequestMessage.Arrived -> api.handle(message.exchange)
-            is RequestMessage.CallerGone -> sessions[message.request]?.callerGone()
-            is RequestMessage.Engine -> sessions[message.request]?.engine(message.attempt, message.signal)
+            is RequestMessage.CallerGone -> completions.callerGone(message.request)
+            is RequestMessage.Engine -> completions.engine(message.request, message.attempt, message.signal)
             is RequestMessage.Continue -> message.resume()
             is RequestMessage.Load -> report(message)
             is RequestMessage.Changed -> apply(message.items)
@@ -96,30 +116,6 @@
         }
     }
 
-    private fun completion(caller: CallerRequest) {
-        when (val parsed = CompletionParser.parse(caller.exchange.body, caller.contract)) {
-            is CompletionParse.Refused -> {
-                metrics.refused(parsed.outcome.reason)
-                caller.exchange.respond(Answers.notRun(caller.id, parsed.outcome))
-            }
-
-            is CompletionParse.Valid -> {
-                val session =
-                    CompletionSession(
-                        context,
-                        routes,
-                        endpoints,
-                        retries,
-                        caller,
-                        parsed.request,
-                    ) { sessions.remove(it.id) }
-                sessions[caller.id] = session
-                caller.exchange.onClosed = { context.post(RequestMessage.CallerGone(caller.id)) }
-                session.start()
-            }
-        }
-    }
-
     private fun report(message: RequestMessage.Load) {
         val now = context.now()
         val answer = message.answer
@@ -152,18 +148,29 @@
             val topology = context.directory.topology(model)
             if (topology == null) routes.remove(model) else routes.replan(context::now, topology)
         }
+        if (items.any { it.key.kind == ObjectKind.CONTRACT }) tellContracts()
         configured = true
         updateReadiness()
     }
 
     private fun tick() {
         val now = context.now()
+        completions.tick(now)
+        admission.retryHeld()
+        if (now >= usageDue) {
+            usageDue = now + USAGE_INTERVAL
+            listeners.used(admission.usage())
+        }
         for ((endpoint, state) in endpoints.engines(now)) {
             val model = context.directory.engine(endpoint)?.model ?: continue
             routes.selector(model)?.availability(now, endpoint, state)
         }
     }
 
+    private fun tellContracts() {
+        listeners.contracts(context.contracts.contracts().map { TeamSlots(it.team, it.concurrency) })
+    }
+
     /** Once ready, the component stays ready: a new plan replaces one that still serves. */
     private fun updateReadiness() {
         if (configured && routes.pendingPlans == 0) isReady = true
@@ -183,6 +190,9 @@
     private companion object {
         const val RING_CAPACITY = 16_384
         val TICK = 20.milliseconds
+
+        /** The ledger bases transfers on the usage of the last second, so ten reports in it are enough. */
+        val USAGE_INTERVAL = 100.milliseconds
         val OVERLOAD_RETRY = 500.milliseconds
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.request
 
 import oriolespindle.core.claim.ClaimCall
+import oriolespindle.core.claim.ClaimEvent
 import oriolespindle.core.claim.ClaimObject
 import oriolespindle.core.claim.ClaimOutcome
 import oriolespindle.core.claim.ClaimRequest
@@ -9,7 +10,9 @@
 import oriolespindle.core.claim.KeyRules
 import oriolespindle.core.claim.RequestDigest
 import oriolespindle.core.contract.Contract
+import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ServiceId
+import oriolespindle.core.limit.TokenCost
 import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.retry.RetryPolicy
@@ -22,7 +25,16 @@
     private val context: RequestContext,
     private val sender: ServiceSender,
     private val retries: RetryPolicy,
+    private val admission: Admission,
+    private val isLive: (InstanceId) -> Boolean,
 ) {
+    private val claims = HashSet<ClaimedCall>()
+
+    /** Tells the claimed calls that this process was paused, so that none sends under a claim of before. */
+    fun wokeFromPause() {
+        claims.toList().forEach { it.handle(ClaimEvent.WokeFromPause) }
+    }
+
     fun handle(request: CallerRequest) {
         val rest = request.exchange.uri.removePrefix("/services/")
         val name = rest.substringBefore('?').substringBefore('/')
@@ -38,16 +50,35 @@
                 refuse(request, RefusalReason.UNKNOWN_SERVICE, "service '$name' does not exist")
             }
 
-            request.exchange.method in value.nonIdempotentMethods -> {
-                nonIdempotent(request, service, uri)
-            }
-
             else -> {
-                sendDirectly(request, service, uri, idempotent = true)
+                admit(request, service, uri, request.exchange.method in value.nonIdempotentMethods)
             }
         }
     }
 
+    private fun admit(
+        request: CallerRequest,
+        service: ServiceId,
+        uri: String,
+        isNonIdempotent: Boolean,
+    ) {
+        admission.admit(
+            caller = request,
+            cost = TokenCost.NONE,
+            admitted = { permit ->
+                request.exchange.onAnswered = {
+                    context.continueWith { admission.settle(permit, TokenCost.NONE) }
+                }
+                if (isNonIdempotent) {
+                    nonIdempotent(request, service, uri)
+                } else {
+                    sendDirectly(request, service, uri, idempotent = true)
+                }
+            },
+            refused = { outcome -> notRun(request, outcome) },
+        )
+    }
+
     private fun nonIdempotent(
         request: CallerRequest,
         service: ServiceId,
@@ -91,16 +122,21 @@
         uri: String,
         claim: ClaimRequest,
     ) {
-        ClaimedCall(
-            context = context,
-            sender = sender,
-            machine = ClaimCall(context.instance, claim),
-            call = ServiceCall.of(request, uri),
-            work = request.id,
-            deadline = request.deadline,
-            servers = { context.directory.servers(service) },
-            answer = { outcome -> respond(request, outcome) },
-        ).start()
+        lateinit var call: ClaimedCall
+        call =
+            ClaimedCall(
+                context = context,
+                sender = sender,
+                machine = ClaimCall(context.instance, claim, isLive = isLive),
+                call = ServiceCall.of(request, uri),
+                work = request.id,
+                deadline = request.deadline,
+                servers = { context.directory.servers(service) },
+                answer = { outcome -> respond(request, outcome) },
+                onFinished = { claims.remove(call) },
+            )
+        claims += call
+        call.start()
     }
 
     /** Sends a call that the caller may repeat, or that its contract lets go out once without a key. */
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/FleetView.kt
@@ -0,0 +1,210 @@
+package oriolespindle.router.state
+
+import oriolespindle.core.config.CacheExchange
+import oriolespindle.core.config.CacheExchangeSettings
+import oriolespindle.core.config.ExchangeAction
+import oriolespindle.core.config.ObjectCache
+import oriolespindle.core.config.ObjectChange
+import oriolespindle.core.config.ObjectEvent
+import oriolespindle.core.config.Revision
+import oriolespindle.core.config.Rollout
+import oriolespindle.core.config.RolloutStatus
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.membership.Member
+import oriolespindle.core.membership.MemberRecord
+import oriolespindle.core.membership.MemberState
+import oriolespindle.core.membership.Membership
+import oriolespindle.core.membership.MembershipAction
+import oriolespindle.core.membership.MembershipEvent
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.peer.PeerIdentity
+import oriolespindle.router.peer.PeerMessage
+import oriolespindle.router.platform.PlatformInstanceList
+import java.util.random.RandomGenerator
+
+/** How to reach the other instances. */
+internal interface PeerSender {
+    fun connect(
+        peer: InstanceId,
+        address: String,
+    )
+
+    fun send(
+        peer: InstanceId,
+        message: PeerMessage,
+    )
+
+    fun forget(peer: InstanceId)
+}
+
+/** Keeps the members of the fleet and passes configuration between them. */
+internal class FleetView(
+    self: MemberRecord,
+    random: RandomGenerator,
+    private val cache: ObjectCache,
+    private val peers: PeerSender,
+    private val onChange: (List<ObjectChange>) -> Unit,
+    private val onMembers: () -> Unit,
+    private val onPaused: () -> Unit,
+) {
+    private val membership = Membership(self, random = random)
+    private val exchangeSettings = CacheExchangeSettings()
+    private val exchange = CacheExchange(cache, exchangeSettings)
+    private val rollout = Rollout()
+
+    fun members(now: Timestamp): List<Member> = membership.members(now)
+
+    fun tick(now: Timestamp) {
+        if (now >= membership.nextTimer()) perform(now, membership.handle(now, MembershipEvent.Tick))
+    }
+
+    fun listed(
+        now: Timestamp,
+        list: PlatformInstanceList,
+    ) {
+        val records =
+            list.instances.filter { it.kind == "router" }.map { item ->
+                MemberRecord(InstanceId(item.id), ZoneId(item.zone), item.address, state = memberState(item.state))
+            }
+        perform(now, membership.handle(now, MembershipEvent.PlatformList(list.version, records)))
+    }
+
+    fun connected(
+        now: Timestamp,
+        peer: PeerIdentity,
+    ) {
+        val record = MemberRecord(peer.instance, peer.zone, peer.address)
+        perform(now, membership.handle(now, MembershipEvent.Contact(record)))
+    }
+
+    fun leave(now: Timestamp) = perform(now, membership.handle(now, MembershipEvent.Leave))
+
+    /** Handles the messages about members and configuration and returns false for every other one. */
+    fun received(
+        now: Timestamp,
+        from: InstanceId,
+        message: PeerMessage,
+    ): Boolean {
+        when (message) {
+            is PeerMessage.Ping -> perform(now, membership.handle(now, MembershipEvent.PingReceived(message.content)))
+            is PeerMessage.Ack -> perform(now, membership.handle(now, MembershipEvent.AckReceived(message.content)))
+            is PeerMessage.Digest -> exchange(now, exchange.digest(now, from, message.content))
+            is PeerMessage.Objects -> onChange(cache.apply(now, ObjectEvent.FromPeer(message.items)))
+            else -> return false
+        }
+        return true
+    }
+
+    /** Tells peers about changes and about the configuration that is now in force here. */
+    fun changed(
+        now: Timestamp,
+        changes: List<ObjectChange>,
+    ) {
+        exchange(now, exchange.changed(changes))
+    }
+
+    /** Notes the revision that is in force here, which later heartbeats report. */
+    fun configured(now: Timestamp) {
+        rollout.reported(now, membership.self.id, cache.revision)
+        perform(now, membership.handle(now, MembershipEvent.Configured(cache.revision, cache.contentHash)))
+    }
+
+    fun rolloutStatus(
+        now: Timestamp,
+        revision: Revision,
+    ): RolloutStatus {
+        rollout.expect(members(now).mapTo(HashSet()) { it.id })
+        rollout.reported(now, membership.self.id, cache.revision)
+        return rollout.status(now, revision)
+    }
+
+    private fun perform(
+        now: Timestamp,
+        actions: List<MembershipAction>,
+    ) {
+        for (action in actions) {
+            when (action) {
+                is MembershipAction.SendPing -> send(action.to, PeerMessage.Ping(action.gossip))
+                is MembershipAction.SendAck -> send(action.to, PeerMessage.Ack(action.gossip))
+                is MembershipAction.Changed -> memberChanged(now, action)
+                is MembershipAction.Reported -> reported(now, action)
+                is MembershipAction.Paused -> paused(action)
+                is MembershipAction.DeclaredGone -> EventLog.warn("the platform lists this instance as gone")
+            }
+        }
+    }
+
+    private fun memberChanged(
+        now: Timestamp,
+        action: MembershipAction.Changed,
+    ) {
+        val after = action.after
+        EventLog.info("member changed", "instance" to after.id, "zone" to after.zone, "state" to after.state)
+        if (after.state == MemberState.GONE) peers.forget(after.id)
+        rollout.expect(members(now).mapTo(HashSet()) { it.id })
+        onMembers()
+    }
+
+    private fun reported(
+        now: Timestamp,
+        action: MembershipAction.Reported,
+    ) {
+        rollout.reported(now, action.instance, action.revision)
+        exchange(now, exchange.heard(now, action.instance, action.revision, action.contentHash))
+    }
+
+    private fun paused(action: MembershipAction.Paused) {
+        EventLog.warn("this process was paused", "duration" to action.duration)
+        onPaused()
+    }
+
+    private fun exchange(
+        now: Timestamp,
+        actions: List<ExchangeAction>,
+    ) {
+        for (action in actions) {
+            when (action) {
+                is ExchangeAction.PassOn -> {
+                    membership
+                        .targets(exchangeSettings.ownZoneTargets, exchangeSettings.otherZoneTargets)
+                        .forEach { peer -> sendObjects(peer.id, peer.address, action) }
+                }
+
+                is ExchangeAction.SendObjects -> {
+                    PeerMessage.Objects.split(action.items).forEach { peers.send(action.to, it) }
+                }
+
+                is ExchangeAction.SendDigest -> {
+                    peers.send(action.to, PeerMessage.Digest(action.digest))
+                }
+            }
+        }
+        if (actions.isNotEmpty()) configured(now)
+    }
+
+    private fun sendObjects(
+        peer: InstanceId,
+        address: String,
+        action: ExchangeAction.PassOn,
+    ) {
+        peers.connect(peer, address)
+        PeerMessage.Objects.split(action.items).forEach { peers.send(peer, it) }
+    }
+
+    private fun send(
+        to: MemberRecord,
+        message: PeerMessage,
+    ) {
+        peers.connect(to.id, to.address)
+        peers.send(to.id, message)
+    }
+
+    private fun memberState(text: String): MemberState =
+        when (text) {
+            "gone" -> MemberState.GONE
+            "leaving" -> MemberState.LEAVING
+            else -> MemberState.ALIVE
+        }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ShareSync.kt
@@ -0,0 +1,170 @@
+package oriolespindle.router.state
+
+import oriolespindle.core.config.ObjectCache
+import oriolespindle.core.config.ObjectKey
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.config.WriteResult
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.limit.Allotment
+import oriolespindle.core.limit.LimitKey
+import oriolespindle.core.limit.ShareAction
+import oriolespindle.core.limit.ShareEvent
+import oriolespindle.core.limit.ShareLedger
+import oriolespindle.core.limit.ShareMessage
+import oriolespindle.core.limit.SharePeer
+import oriolespindle.core.limit.ShareSettings
+import oriolespindle.core.limit.ShareUpdate
+import oriolespindle.core.limit.TeamSlots
+import oriolespindle.core.limit.UsageReport
+import oriolespindle.core.membership.Member
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.peer.PeerMessage
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.platform.PlatformInstanceList
+import oriolespindle.router.platform.PlatformObject
+import oriolespindle.router.platform.PlatformResult
+import oriolespindle.router.platform.toStored
+import oriolespindle.router.runtime.monotonicNow
+
+/** Connects the share ledger with peers, the platform and the limiter of the request component. */
+internal class ShareSync(
+    private val self: InstanceId,
+    settings: ShareSettings,
+    private val cache: ObjectCache,
+    private val platform: PlatformClient,
+    private val writer: ObjectWriter,
+    private val peers: PeerSender,
+    private val post: (StateMessage) -> Unit,
+    private val applyShares: (ShareUpdate) -> Unit,
+    private val onRemoved: () -> Unit,
+) {
+    private val ledger = ShareLedger(self, settings)
+    private var reading = false
+    private var known: StoredObject? = null
+
+    fun start() = readAllotment()
+
+    fun tick(now: Timestamp) {
+        perform(ledger.handle(now, ShareEvent.Tick))
+        if (known == null && !reading) readAllotment()
+    }
+
+    fun contracts(
+        now: Timestamp,
+        teams: List<TeamSlots>,
+    ) = perform(ledger.handle(now, ShareEvent.Contracts(teams)))
+
+    fun used(
+        now: Timestamp,
+        report: UsageReport,
+    ) = perform(ledger.handle(now, ShareEvent.Usage(report)))
+
+    fun members(
+        now: Timestamp,
+        members: List<Member>,
+    ) {
+        val reachable = members.filter { it.reachable && it.id != self }.map { SharePeer(it.id, it.record.zone) }
+        perform(ledger.handle(now, ShareEvent.Peers(reachable)))
+    }
+
+    fun listed(
+        now: Timestamp,
+        list: PlatformInstanceList,
+    ) {
+        val routers = list.instances.filter { it.kind == "router" }
+        val live = routers.filter { it.state == "live" }.map { InstanceId(it.id) }
+        val gone = routers.filter { it.state == "gone" }.map { InstanceId(it.id) }
+        perform(ledger.handle(now, ShareEvent.PlatformList(live, gone)))
+    }
+
+    fun received(
+        now: Timestamp,
+        from: InstanceId,
+        message: ShareMessage,
+    ) = perform(ledger.handle(now, ShareEvent.Received(from, message)))
+
+    /** Takes the allotment from the cache, which peers and the watch fill. */
+    fun changed(now: Timestamp) {
+        val item = cache.get(KEY) ?: return
+        take(now, item, requestedAt = null)
+    }
+
+    /** Takes the allotment as it was read from the platform. */
+    fun read(
+        now: Timestamp,
+        result: PlatformResult<PlatformObject>,
+        requestedAt: Timestamp,
+    ) {
+        reading = false
+        when (result) {
+            is PlatformResult.Ok -> {
+                take(now, result.value.toStored(), requestedAt)
+            }
+
+            is PlatformResult.NotFound -> {
+                perform(ledger.handle(now, ShareEvent.AllotmentMissing))
+            }
+
+            is PlatformResult.Conflict, is PlatformResult.Unavailable -> {
+                Unit
+            }
+        }
+    }
+
+    fun usable(key: LimitKey): Int = ledger.usable(key)
+
+    private fun take(
+        now: Timestamp,
+        item: StoredObject,
+        requestedAt: Timestamp?,
+    ) {
+        val allotment = item.value?.let(Allotment::parseOrNull) ?: return
+        val before = known
+        if (before == null || item.version > before.version) known = item
+        perform(ledger.handle(now, ShareEvent.AllotmentRead(allotment, requestedAt)))
+    }
+
+    private fun perform(actions: List<ShareAction>) {
+        for (action in actions) {
+            when (action) {
+                is ShareAction.Send -> peers.send(action.to, PeerMessage.Share(action.message))
+                is ShareAction.Apply -> applyShares(action.update)
+                is ShareAction.ReadAllotment -> readAllotment()
+                is ShareAction.Propose -> propose(action)
+                is ShareAction.Restart -> onRemoved()
+            }
+        }
+    }
+
+    private fun readAllotment() {
+        if (reading) return
+        reading = true
+        val requestedAt = monotonicNow()
+        platform.get(KEY.kind.code, KEY.name) { post(StateMessage.AllotmentRead(it, requestedAt)) }
+    }
+
+    private fun propose(action: ShareAction.Propose) {
+        val current = known
+        val generation = current?.value?.let(Allotment::parseOrNull)?.generation
+        if (generation != action.expectedGeneration) {
+            readAllotment()
+            return
+        }
+        writer.write(KEY, action.next.encode(), current?.version) { result ->
+            EventLog.info(
+                "allotment proposed",
+                "generation" to action.next.generation,
+                "accepted" to result.isAccepted(),
+            )
+            readAllotment()
+        }
+    }
+
+    private fun WriteResult.isAccepted() = this is WriteResult.Accepted
+
+    private companion object {
+        val KEY = ObjectKey(ObjectKind.ALLOTMENT, "shares")
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -1,14 +1,27 @@
 package oriolespindle.router.state
 
+import kotlinx.serialization.json.JsonObject
 import oriolespindle.core.config.ObjectCache
 import oriolespindle.core.config.ObjectChange
 import oriolespindle.core.config.ObjectKey
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.Revision
+import oriolespindle.core.config.RolloutStatus
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.config.WriteResult
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.limit.ShareSettings
+import oriolespindle.core.limit.ShareUpdate
+import oriolespindle.core.limit.TeamSlots
+import oriolespindle.core.limit.UsageReport
+import oriolespindle.core.membership.Member
+import oriolespindle.core.membership.MemberRecord
+import oriolespindle.core.membership.MemberState
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.peer.PeerIdentity
+import oriolespindle.router.peer.PeerMessage
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.platform.PlatformInstance
 import oriolespindle.router.platform.PlatformInstanceList
@@ -16,32 +29,59 @@
 import oriolespindle.router.runtime.Component
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
+import java.util.random.RandomGenerator
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Keeps the configuration and the knowledge about other instances, on one thread. */
+/** What the state component tells the other parts; each function is called on its thread and must not block. */
+internal class StateListeners(
+    val changed: (List<StoredObject>) -> Boolean,
+    val listed: (PlatformInstanceList) -> Unit,
+    val operators: (List<StoredObject>) -> Unit,
+    val members: (Set<InstanceId>) -> Unit,
+    val shares: (ShareUpdate) -> Unit,
+    val paused: () -> Unit,
+    val removed: () -> Unit,
+    val evidence: (PeerMessage.Evidence) -> Unit,
+)
+
+/** Keeps the configuration, the members of the fleet and this instance's shares, on one thread. */
 internal class StateComponent(
     private val platform: PlatformClient,
     private val timers: TimerService,
     private val self: PlatformInstance,
+    random: RandomGenerator,
     metrics: Metrics,
-    private val changed: (List<StoredObject>) -> Boolean,
-    private val listed: (PlatformInstanceList) -> Unit,
-    private val operators: (List<StoredObject>) -> Unit,
+    private val peers: PeerSender,
+    private val listeners: StateListeners,
 ) {
     private val component = Component("state", RING_CAPACITY, ::handle)
     private val cache = ObjectCache()
-    private val sync = ConfigurationSync(platform, cache, ::post, ::publish)
     private val writer = ObjectWriter(platform, timers) { block -> post(StateMessage.Run(block)) }
+    private val sync = ConfigurationSync(platform, cache, random, ZoneId(self.zone), self.id, ::post, ::publish)
+    private val fleet = FleetView(record(), random, cache, peers, ::publish, ::membersChanged, listeners.paused)
+    private val shares =
+        ShareSync(
+            self = InstanceId(self.id),
+            settings = ShareSettings(ZoneId(self.zone)),
+            cache = cache,
+            platform = platform,
+            writer = writer,
+            peers = peers,
+            post = ::post,
+            applyShares = listeners.shares,
+            onRemoved = listeners.removed,
+        )
     private val unpublished = ArrayDeque<List<StoredObject>>()
     private var listing = false
     private var listDue = Timestamp(Long.MIN_VALUE)
     private var registered = false
 
-    /** Whether the first list was handed on; it is also handed on when it has no objects. */
+    /** Whether the first configuration was handed on; it is also handed on when it has no objects. */
     private var published = false
     private var registerDue = Timestamp(Long.MIN_VALUE)
+    private var shareTickDue = Timestamp(Long.MIN_VALUE)
 
     /** The revision up to which this instance has every change. */
     @Volatile
@@ -50,10 +90,12 @@
 
     init {
         metrics.gauge("oriolespindle.configuration.revision") { revision }
+        metrics.gauge("oriolespindle.ring.state") { component.depth }
     }
 
     fun start() {
         component.start()
+        post(StateMessage.Run(shares::start))
         timers.every(TICK) { component.offer(StateMessage.Tick) }
     }
 
@@ -62,6 +104,19 @@
         post(StateMessage.Run { block(cache) })
     }
 
+    /** Passes a report on the configuration and the members to [answer] on this component's thread. */
+    fun report(answer: (JsonObject) -> Unit) {
+        post(StateMessage.Run { answer(StateStatus.report(cache, fleet.members(monotonicNow()))) })
+    }
+
+    /** Passes how far [revision] is in force to [block] on this component's thread. */
+    fun rollout(
+        revision: Revision,
+        block: (RolloutStatus) -> Unit,
+    ) {
+        post(StateMessage.Run { block(fleet.rolloutStatus(monotonicNow(), revision)) })
+    }
+
     /** Writes or, with a null [value], deletes an object in the platform on condition of its version. */
     fun write(
         key: ObjectKey,
@@ -72,6 +127,33 @@
         post(StateMessage.Run { writer.write(key, value, expected, result) })
     }
 
+    fun received(
+        from: InstanceId,
+        message: PeerMessage,
+    ) {
+        if (message.gossip) {
+            component.offer(
+                StateMessage.Peer(from, message),
+            )
+        } else {
+            post(StateMessage.Peer(from, message))
+        }
+    }
+
+    fun connected(peer: PeerIdentity) = post(StateMessage.Connected(peer))
+
+    fun contracts(teams: List<TeamSlots>) = post(StateMessage.Contracts(teams))
+
+    fun used(report: UsageReport) = post(StateMessage.Used(report))
+
+    /** Sends [message] to every reachable instance. */
+    fun broadcast(message: PeerMessage) {
+        post(StateMessage.Run { reachablePeers().forEach { peers.send(it.id, message) } })
+    }
+
+    /** Tells the other instances that this one shuts down. */
+    fun leave() = post(StateMessage.Run { fleet.leave(monotonicNow()) })
+
     private fun post(message: StateMessage) {
         if (!component.offer(message)) timers.after(RING_RETRY) { post(message) }
     }
@@ -81,16 +163,29 @@
         when (message) {
             is StateMessage.Listed -> sync.listed(now, message.result)
             is StateMessage.Watched -> sync.watched(now, message.watch, message.line)
-            is StateMessage.Instances -> instancesListed(message.result)
+            is StateMessage.Instances -> instancesListed(now, message.result)
+            is StateMessage.AllotmentRead -> shares.read(now, message.result, message.requestedAt)
+            is StateMessage.Peer -> peerMessage(now, message)
+            is StateMessage.Connected -> fleet.connected(now, message.peer)
+            is StateMessage.Contracts -> shares.contracts(now, message.teams)
+            is StateMessage.Used -> shares.used(now, message.report)
             is StateMessage.Run -> message.block()
             is StateMessage.Tick -> tick(now)
         }
-        revision = cache.revision.value
+        if (revision != cache.revision.value) {
+            revision = cache.revision.value
+            fleet.configured(now)
+        }
     }
 
     private fun tick(now: Timestamp) {
         flush()
-        sync.tick(now)
+        sync.tick(now, fleet.members(now))
+        fleet.tick(now)
+        if (now >= shareTickDue) {
+            shareTickDue = now + SHARE_TICK
+            shares.tick(now)
+        }
         if (!listing && now >= listDue) {
             listing = true
             listDue = now + LIST_INTERVAL
@@ -98,31 +193,66 @@
         }
         if (!registered && now >= registerDue) {
             registerDue = now + REGISTER_RETRY
-            platform.register(self) { done -> if (done) registered = true }
+            platform.register(self) { done -> if (done) post(StateMessage.Run { registered = true }) }
+        }
+    }
+
+    private fun peerMessage(
+        now: Timestamp,
+        received: StateMessage.Peer,
+    ) {
+        val message = received.message
+        if (fleet.received(now, received.from, message)) return
+        when (message) {
+            is PeerMessage.Share -> shares.received(now, received.from, message.content)
+            is PeerMessage.Evidence -> listeners.evidence(message)
+            else -> Unit
         }
     }
 
-    private fun instancesListed(result: PlatformResult<PlatformInstanceList>) {
+    private fun instancesListed(
+        now: Timestamp,
+        result: PlatformResult<PlatformInstanceList>,
+    ) {
         listing = false
-        if (result is PlatformResult.Ok) listed(result.value)
+        if (result !is PlatformResult.Ok) return
+        fleet.listed(now, result.value)
+        shares.listed(now, result.value)
+        listeners.listed(result.value)
+    }
+
+    private fun membersChanged() {
+        val now = monotonicNow()
+        val members = fleet.members(now)
+        shares.members(now, members)
+        listeners.members(members.filter { it.record.state < MemberState.DEAD }.mapTo(HashSet()) { it.id })
     }
 
     private fun publish(changes: List<ObjectChange>) {
         if (changes.isEmpty() && published) return
         published = true
-        if (changes.any { it.key.kind == ObjectKind.OPERATOR }) operators(cache.live(ObjectKind.OPERATOR))
+        val now = monotonicNow()
+        if (changes.any { it.key.kind == ObjectKind.OPERATOR }) listeners.operators(cache.live(ObjectKind.OPERATOR))
+        if (changes.any { it.key.kind == ObjectKind.ALLOTMENT }) shares.changed(now)
         unpublished.addLast(changes.map { it.after })
         flush()
+        fleet.changed(now, changes)
     }
 
     /** Hands changes on in order; what a full ring buffer does not take waits for the next tick. */
     private fun flush() {
-        while (unpublished.isNotEmpty() && changed(unpublished.first())) unpublished.removeFirst()
+        while (unpublished.isNotEmpty() && listeners.changed(unpublished.first())) unpublished.removeFirst()
     }
 
+    private fun reachablePeers(): List<Member> =
+        fleet.members(monotonicNow()).filter { it.reachable && it.id.value != self.id }
+
+    private fun record() = MemberRecord(InstanceId(self.id), ZoneId(self.zone), self.address)
+
     private companion object {
         const val RING_CAPACITY = 4_096
         val TICK: Duration = 50.milliseconds
+        val SHARE_TICK: Duration = 100.milliseconds
         val RING_RETRY: Duration = 2.milliseconds
         val LIST_INTERVAL: Duration = 1.seconds
         val REGISTER_RETRY: Duration = 1.seconds
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
@@ -16,6 +16,10 @@
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.limit.KeyCount
+import oriolespindle.core.limit.LimitKey
+import oriolespindle.core.limit.LimitKind
+import oriolespindle.core.limit.ShareMessage
 import oriolespindle.core.membership.Gossip
 import oriolespindle.core.membership.MemberRecord
 import strikt.api.expectThat
@@ -37,8 +41,8 @@
             PeerMessage.Ping(Gossip(member, 9, Revision(8), -5, listOf(member), wantAll = true)),
             PeerMessage.Ack(Gossip(member, 9)),
             PeerMessage.Objects(listOf(stored, StoredObject.tombstone(stored.key, Revision(8)))),
-            PeerMessage.ShareCounters(Revision(4), listOf(ShareCounter(TeamId("a"), "requests", 10, 20))),
-            PeerMessage.ShareWant(listOf(ShareRequest(TeamId("a"), "tokens", 500))),
+            PeerMessage.Share(ShareMessage.Counters(listOf(KeyCount(LimitKey(TeamId("a"), LimitKind.REQUESTS), 10)))),
+            PeerMessage.Share(ShareMessage.Probe(7)),
             PeerMessage.Evidence(listOf(EvidenceItem("f1", EndpointId("e1"), "router-1/4", 3, 1_500))),
             PeerMessage.Demand(mapOf(TeamId("a") to 12.5)),
         )
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerQueueTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerQueueTest.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
-import oriolespindle.core.config.Revision
 import oriolespindle.core.id.TeamId
+import oriolespindle.core.limit.ShareMessage
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
@@ -14,7 +14,7 @@
 
     private fun gossip(number: Int) = PeerMessage.Demand(mapOf(TeamId("t") to number.toDouble()))
 
-    private fun counters(number: Long) = PeerMessage.ShareCounters(Revision(number), emptyList())
+    private fun counters(number: Long) = PeerMessage.Share(ShareMessage.Probe(number))
 
     private fun drain(
         queue: PeerQueue,
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
@@ -3,10 +3,10 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
-import oriolespindle.core.config.Revision
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.limit.ShareMessage
 import oriolespindle.core.membership.Gossip
 import oriolespindle.core.membership.MemberRecord
 import strikt.api.expectThat
@@ -99,7 +99,7 @@
         val a = start("a")
         val stranger = start("s", key = 2)
         stranger.transport.connect(a.id, a.address)
-        stranger.transport.send(a.id, PeerMessage.ShareCounters(Revision(1), emptyList()))
+        stranger.transport.send(a.id, PeerMessage.Share(ShareMessage.Probe(1)))
 
         waitUntil {
             a.transport.counters.unproved
