--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpExchange.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpExchange.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -88,12 +87,6 @@
         channel.close()
     }
 
-    /** Resets the connection without an answer. */
-    fun reset() {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0)
-        channel.close()
-    }
-
     /** Runs [action] when the caller has gone away. */
     fun onClose(action: () -> Unit) {
         channel.closeFuture().addListener { action() }
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
@@ -75,10 +75,7 @@
     fun reset() {
         listener?.close()
         listener = null
-        connections.forEach {
-            it.config().setOption(ChannelOption.SO_LINGER, 0)
-            it.close()
-        }
+        connections.forEach { it.reset() }
     }
 
     private fun bind(to: InetSocketAddress) {
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/Netty.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/Netty.kt
@@ -1,5 +1,8 @@
 package oriolespindle.testkit.http
 
+import io.netty.channel.Channel
+import io.netty.channel.ChannelException
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -21,3 +24,13 @@
 }
 
 internal fun InetSocketAddress.hostAndPort(): String = "${address.hostAddress}:$port"
+
+/** Closes the connection so that the other side sees a reset, not an end; does nothing when it is closed. */
+internal fun Channel.reset() {
+    try {
+        config().setOption(ChannelOption.SO_LINGER, 0)
+    } catch (_: ChannelException) {
+        // The socket is closed already, for example by the other side.
+    }
+    close()
+}
