Kill the routers of a process fleet when its own process is killed

Cause: a fleet process that was killed with SIGKILL left its 3 routers running, since no shutdown hook runs then and a router does not watch its parent. A SIGTERM during the start ran the clean-up twice at the same time and left a folder. Ruled out: starting the router through a wrapper class, because its command line is fixed. Change: a guard process reads the routers' process ids and kills them when its input ends; the clean-up runs once.

--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/ProcessFleet.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/ProcessFleet.kt
@@ -36,6 +36,7 @@
 ) : AutoCloseable {
     private val started = mutableListOf<FleetProcess>()
     private var closed = false
+    private val guard = lazy { ProcessGuard(java(classPath, "oriolespindle.testkit.fleet.ProcessGuardKt")) }
     private val folder: Path = Files.createTempDirectory("oriolespindle-fleet")
     private val hook = Thread(::stopAll)
 
@@ -101,9 +102,8 @@
                 listOf("--callers", callers, "--administration", administration, "--peers", peers) +
                 listOf("--platform", platform, "--fleet-key-file", fleetKeyFile(), "--log-format", "text")
         val command = java(path, "oriolespindle.router.MainKt") + arguments + flags
-        return add(
-            FleetProcess(instance, callers, administration, peers, log(instance), "/readyz", launch(instance, command)),
-        )
+        val launch = launch(instance, command) { guard.value.register(it.pid()) }
+        return add(FleetProcess(instance, callers, administration, peers, log(instance), "/readyz", launch))
     }
 
     /**
@@ -136,17 +136,22 @@
         }
     }
 
+    /** Runs once, in [close] or in the shutdown hook; the other one waits for it. */
+    @Synchronized
     @OptIn(kotlin.io.path.ExperimentalPathApi::class)
     private fun stopAll() {
-        synchronized(this) { closed = true }
+        if (closed) return
+        closed = true
         processes.forEach { it.kill() }
+        if (guard.isInitialized()) guard.value.stop()
         folder.deleteRecursively()
     }
 
-    /** Starts processes under the lock, so that none starts after [stopAll] has listed the ones to kill. */
+    /** Starts processes under the lock, so that none starts after [stopAll]. */
     private fun launch(
         name: String,
         command: List<String>,
+        started: (Process) -> Unit = {},
     ): () -> Process =
         {
             synchronized(this) {
@@ -155,6 +160,7 @@
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log(name).toFile()))
                     .start()
+                    .also(started)
             }
         }
 
