--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineFault.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineFault.kt
@@ -35,7 +35,7 @@
     @SerialName("busy")
     public data object Busy : EngineFault
 
-    /** A stream's connection is closed after it sent [afterLines] lines; only the next [streams] new ones. */
+    /** A stream's connection is closed once it has sent [afterLines] lines; this happens to at most [streams]. */
     @Serializable
     @SerialName("truncate")
     public data class Truncate(
--- a/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/engine/EngineFakeTest.kt
+++ b/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/engine/EngineFakeTest.kt
@@ -11,10 +11,13 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNull
 import java.io.IOException
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 class EngineFakeTest {
     private val first = EngineFake.start(EngineSettings("e1", "demo", first = 0, end = 20))
@@ -168,4 +171,40 @@
         expectThat(unfenced.state.model).isNull()
         unfenced.close()
     }
+
+    @Test
+    fun `an order that waits longer than it is valid is not applied`() {
+        first.inject(EngineFault.SlowOrders(50))
+        val order = """{"order":"o1","fence":1,"expiresInMs":50,"action":"unload"}"""
+
+        val reply = TestClient(first.address).call("POST", "/v1/orders", order)
+
+        expectThat(reply.status).isEqualTo(409)
+        expectThat(reply.body).isEqualTo("""{"reason":"expired"}""")
+        expectThat(first.state.model).isEqualTo("demo")
+    }
+
+    @Test
+    fun `a slow link delays the lines, keeps their order and shows in the load report`() {
+        first.inject(EngineFault.SlowLink(100))
+
+        val start = TimeSource.Monotonic.markNow()
+        val lines = run(request()).parsed()
+
+        expectThat(start.elapsedNow()).isGreaterThanOrEqualTo(100.milliseconds)
+        expectThat(tokens(lines)).isEqualTo(expected(0..4))
+        expectThat(load(first).linkMillis).isEqualTo(mapOf("e2" to 100.5))
+    }
+
+    @Test
+    fun `a load report can be old`() {
+        EngineFake.start(EngineSettings("e6", "demo", 0, 40, loadLag = 1.hours)).use { engine ->
+            expectThat(load(engine).state).isEqualTo("serving")
+            engine.inject(EngineFault.Draining)
+            expectThat(load(engine).state).isEqualTo("serving")
+        }
+    }
+
+    private fun load(engine: EngineFake): EngineLoad =
+        wireJson.decodeFromString(TestClient(engine.address).call("GET", "/v1/load").body)
 }
