Bound the memory of a fake engine and add links to the process fleet

Cause: an engine kept one close listener for each request of a reused connection and up to 20,000 attempts of any length, which does not fit into a 128 MB process during a long load run; a link could not be started as a process. Change: a stream takes its listener back when it ends; the run log keeps 1,000,000 positions; ProcessFleet.link.

--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineStream.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineStream.kt
@@ -24,6 +24,7 @@
     private var nextPosition = request.from
     private var nextDue = 0L
     private var next: HttpCall? = null
+    private var unsubscribe: () -> Unit = {}
     private var lines: FaultyLines? = null
 
     @Volatile
@@ -40,7 +41,7 @@
         }
 
     fun start() {
-        exchange.onClose(::stop)
+        unsubscribe = exchange.onClose(::stop)
         if (rest.isEmpty()) {
             accept()
             startProducing()
@@ -58,6 +59,7 @@
     private fun stop() {
         finished = true
         next?.cancel()
+        unsubscribe()
         engine.finished(this)
     }
 
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/RunLog.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/RunLog.kt
@@ -2,21 +2,21 @@
 
 import oriolespindle.core.id.LayerRange
 
-/** Runs of older requests are forgotten, so that a long load run fits in the memory of a small process. */
-private const val KEPT_ATTEMPTS = 20_000
+/** The runs of the oldest attempts are forgotten beyond this, which takes about 25 MB of a 128 MB process. */
+private const val KEPT_POSITIONS = 1_000_000
 
 /** Which layers ran for which positions. */
-internal class RunLog {
+internal class RunLog(
+    private val keptPositions: Int = KEPT_POSITIONS,
+) {
     private data class Key(
         val request: String,
         val attempt: Int,
         val layers: LayerRange,
     )
 
-    private val runs =
-        object : LinkedHashMap<Key, MutableList<Int>>() {
-            override fun removeEldestEntry(eldest: Map.Entry<Key, MutableList<Int>>): Boolean = size > KEPT_ATTEMPTS
-        }
+    private val runs = LinkedHashMap<Key, MutableList<Int>>()
+    private var positions = 0
 
     @Synchronized
     fun add(
@@ -26,6 +26,8 @@
         position: Int,
     ) {
         runs.getOrPut(Key(request, attempt, layers)) { mutableListOf() } += position
+        positions++
+        while (positions > keptPositions && runs.size > 1) forgetOldest()
     }
 
     @Synchronized
@@ -33,4 +35,10 @@
         runs.map { (key, positions) ->
             EngineRun(key.request, key.attempt, key.layers.first, key.layers.end, positions.toList())
         }
+
+    private fun forgetOldest() {
+        val oldest = runs.entries.iterator()
+        positions -= oldest.next().value.size
+        oldest.remove()
+    }
 }
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/FleetProcess.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/FleetProcess.kt
@@ -4,6 +4,7 @@
 import oriolespindle.testkit.engine.EngineRun
 import oriolespindle.testkit.http.TestClient
 import oriolespindle.testkit.http.wireJson
+import oriolespindle.testkit.link.LinkFault
 import oriolespindle.testkit.platform.PlatformCalls
 import oriolespindle.testkit.platform.PlatformFault
 import oriolespindle.testkit.platform.PlatformInstance
@@ -71,6 +72,8 @@
     /**
      * Starts the process again with the same addresses; its output is added to the same file.
      *
+     * A stand-in has lost what it held in memory: a platform has its initial objects again.
+     *
      * @throws IllegalStateException if it still runs.
      */
     public fun restart() {
@@ -87,6 +90,9 @@
     /** Injects a fault into a plain service. */
     public fun inject(fault: ServiceFault): Unit = control(wireJson.encodeToString(fault))
 
+    /** Injects a fault into a link. */
+    public fun inject(fault: LinkFault): Unit = control(wireJson.encodeToString(fault))
+
     /** Adds or replaces an entry of a platform's instance list. */
     public fun register(instance: PlatformInstance) {
         val reply =
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/ProcessFleet.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/fleet/ProcessFleet.kt
@@ -81,6 +81,21 @@
             flags = listOf("--endpoint", endpoint),
         )
 
+    /** Starts a TCP link to [target], which is `HOST:PORT`. */
+    public fun link(
+        name: String,
+        target: String,
+    ): FleetProcess {
+        val control = FreePorts.take()
+        return startStandIn(
+            name = name,
+            main = "oriolespindle.testkit.link.MainKt",
+            control = control,
+            readyPath = "/_control/connections",
+            flags = listOf("--target", target, "--control-port", "$control"),
+        )
+    }
+
     /**
      * Starts a router instance that uses the platform at [platform]; [flags] are added to the usual ones.
      *
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpExchange.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpExchange.kt
@@ -87,9 +87,11 @@
         channel.close()
     }
 
-    /** Runs [action] when the caller has gone away. */
-    fun onClose(action: () -> Unit) {
-        channel.closeFuture().addListener { action() }
+    /** Runs [action] when the caller has gone away; the result takes it back, since connections are reused. */
+    fun onClose(action: () -> Unit): () -> Unit {
+        val listener = ChannelFutureListener { action() }
+        channel.closeFuture().addListener(listener)
+        return { channel.closeFuture().removeListener(listener) }
     }
 
     fun after(
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/link/LinkFake.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/link/LinkFake.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import kotlinx.serialization.Serializable
 import oriolespindle.testkit.Handle
 import oriolespindle.testkit.http.ErrorBody
 import oriolespindle.testkit.http.HttpExchange
@@ -104,6 +105,7 @@
     private fun handleControl(exchange: HttpExchange) {
         when (exchange.method + " " + exchange.uriPath) {
             "POST /_control" -> exchange.reply(200, exchange.read<LinkFault>().also(::inject))
+            "GET /_control/connections" -> exchange.reply(200, LinkConnections(openConnections))
             else -> exchange.reply(404, ErrorBody("no_path", exchange.uriPath))
         }
     }
@@ -118,6 +120,11 @@
     }
 }
 
+@Serializable
+private data class LinkConnections(
+    val open: Int,
+)
+
 private data class LinkState(
     val cut: Boolean = false,
     val silenceNew: Boolean = false,
--- a/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/fleet/ProcessFleetTest.kt
+++ b/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/fleet/ProcessFleetTest.kt
@@ -4,6 +4,7 @@
 import oriolespindle.testkit.engine.EngineFault
 import oriolespindle.testkit.engine.EngineSettings
 import oriolespindle.testkit.http.TestClient
+import oriolespindle.testkit.link.LinkFault
 import strikt.api.expectThat
 import strikt.api.expectThrows
 import strikt.assertions.contains
@@ -23,8 +24,11 @@
         fleet.use {
             val platform = fleet.platform(listOf(FleetObject("model", "demo", """{"layers":20}""")))
             val engine = fleet.engine(EngineSettings("e1", "demo", first = 0, end = 20))
+            val link = fleet.link("link", platform.address)
             fleet.awaitReady()
-            expectThat(TestClient(platform.address).call("GET", "/v1/objects/model/demo").status).isEqualTo(200)
+            expectThat(TestClient(link.address).call("GET", "/v1/objects/model/demo").status).isEqualTo(200)
+            link.inject(LinkFault.Cut)
+            expectThrows<IOException> { TestClient(link.address).call("GET", "/v1/objects/model/demo") }
 
             engine.inject(EngineFault.CrashOnPrompt("poison"))
             expectThrows<IOException> { TestClient(engine.address).call("POST", "/v1/pipeline", pipeline("poison")) }
