Keep a fake platform that refuses connections from waiting for itself

Cause: inject(Refuse) waited for closed channels while it held the platform's lock, and the event loops needed that lock to end an open watch, so that both waited for ever. Change: the wait is outside the lock; a connection accepted just before the listener closes is reset too. Conclusion: the deadlock is gone; the race of a late connection is closed by reasoning and has no test.

--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpCall.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpCall.kt
@@ -51,6 +51,7 @@
 internal class HttpCall private constructor(
     private val listener: HttpListener,
 ) {
+    @Volatile
     private var finished = false
     private var channel: Channel? = null
     private var cancelled = false
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
@@ -31,6 +31,9 @@
     private lateinit var bound: InetSocketAddress
     private var listener: Channel? = null
 
+    @Volatile
+    private var refusing = false
+
     override val address: String get() = bound.hostAndPort()
 
     private val accepted = AtomicLong()
@@ -51,6 +54,7 @@
     /** Closes the listener and every connection, so that new ones are refused until [listen]. */
     @Synchronized
     fun refuse() {
+        refusing = true
         listener?.close()?.syncUninterruptibly()
         listener = null
         closeConnections()
@@ -73,12 +77,14 @@
 
     /** Closes the listener and resets every connection without waiting; may be called on an event loop. */
     fun reset() {
+        refusing = true
         listener?.close()
         listener = null
         connections.forEach { it.reset() }
     }
 
     private fun bind(to: InetSocketAddress) {
+        refusing = false
         val channel =
             ServerBootstrap()
                 .group(sharedLoops)
@@ -97,6 +103,8 @@
     private inner class Connection : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             connections.add(channel)
+            // A connection that was accepted just before the listener closed can get here after all others were closed.
+            if (refusing) return channel.reset()
             channel.pipeline().addLast(
                 HttpServerCodec(),
                 HttpObjectAggregator(MAX_BODY_BYTES),
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/platform/PlatformFake.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/platform/PlatformFake.kt
@@ -68,46 +68,28 @@
     public val revision: Long get() = store.revision
 
     /** Adds a fault to the ones in force; [PlatformFault.Healthy] ends them. */
-    @Synchronized
     public fun inject(fault: PlatformFault) {
-        when (fault) {
-            PlatformFault.Healthy -> {
-                faults = Faults(hungBefore = faults.hungBefore)
-                server.listen()
-            }
-
-            PlatformFault.Refuse -> {
-                watches.clear()
-                server.refuse()
-            }
-
-            PlatformFault.Unavailable -> {
-                faults = faults.copy(unavailable = true)
-                watches.forEach { it.drop() }
-            }
-
-            is PlatformFault.Slow -> {
-                faults = faults.copy(slowMillis = fault.millis)
-            }
-
-            is PlatformFault.LoseAnswers -> {
-                faults = faults.copy(loss = AnswerLossState(fault.loss))
-            }
-
-            is PlatformFault.LagInstances -> {
-                faults = faults.copy(instanceLagMillis = fault.millis)
-            }
-
-            PlatformFault.Hang -> {
-                faults = faults.copy(hang = true)
-            }
-
-            PlatformFault.HangOpen -> {
-                faults = faults.copy(hungBefore = server.nextConnection)
-            }
+        synchronized(this) {
+            faults = faults.with(fault)
+            if (fault == PlatformFault.Unavailable) watches.forEach { it.drop() }
         }
+        // Outside the lock: both wait for event loops, which take the lock to answer calls and to end watches.
+        if (fault == PlatformFault.Refuse) server.refuse()
+        if (fault == PlatformFault.Healthy) server.listen()
     }
 
+    private fun Faults.with(fault: PlatformFault): Faults =
+        when (fault) {
+            PlatformFault.Healthy -> Faults(hungBefore = hungBefore)
+            PlatformFault.Refuse -> this
+            PlatformFault.Unavailable -> copy(unavailable = true)
+            is PlatformFault.Slow -> copy(slowMillis = fault.millis)
+            is PlatformFault.LoseAnswers -> copy(loss = AnswerLossState(fault.loss))
+            is PlatformFault.LagInstances -> copy(instanceLagMillis = fault.millis)
+            PlatformFault.Hang -> copy(hang = true)
+            PlatformFault.HangOpen -> copy(hungBefore = server.nextConnection)
+        }
+
     /** Stores an object without a condition, as an operator's initial load. */
     @Synchronized
     public fun put(
--- a/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/platform/PlatformFakeTest.kt
+++ b/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/platform/PlatformFakeTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
 import oriolespindle.testkit.AnswerLoss
 import oriolespindle.testkit.http.TestClient
 import oriolespindle.testkit.http.TestReply
@@ -134,6 +135,21 @@
         expectThat(put("c2", "1", absent).status).isEqualTo(200)
     }
 
+    @Test
+    @Timeout(30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    fun `refusing connections ends open watches and does not wait for itself`() {
+        val lines = List(8) { watch() }
+        lines.forEach { expectThat(it.next()?.type).isEqualTo(WatchType.IDLE) }
+
+        platform.inject(PlatformFault.Refuse)
+        platform.inject(PlatformFault.Healthy)
+
+        expectThat(put("c1", "1", absent).status).isEqualTo(200)
+        lines.forEach { it.clear() }
+        expectThat(lines.first().poll(1500, TimeUnit.MILLISECONDS)).isNull()
+        expectThat(lines.mapNotNull { it.poll() }).isEmpty()
+    }
+
     @Test
     fun `a hung platform applies nothing, and a watch that hangs stays silent after it recovers`() {
         val lines = watch()
