Compute the KV cache again when a kept stage cannot reuse it

Cause: with a first stage frozen by SIGSTOP the last stage refused the cache of the attempt that it still ran, and the same refusal met every retry until the request was given up. Change: after a refusal of the cache, later attempts recompute it. Conclusion: reuse is an optimisation and must have a way without it.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -177,7 +177,7 @@
                 "bad_chain" -> RetryReason.TRUNCATED_ANSWER
                 else -> RetryReason.ENDPOINT_BUSY
             }
-        failed(why, endpoint, reached = true, saidNotRun = true)
+        failed(why, endpoint, reached = true, saidNotRun = true, cacheRefused = reason == "bad_chain")
     }
 
     private fun connectionFailed(signal: EngineSignal.Failed) {
@@ -198,6 +198,7 @@
         endpoint: EndpointId?,
         reached: Boolean = true,
         saidNotRun: Boolean = false,
+        cacheRefused: Boolean = false,
     ) {
         EventLog.warn(
             "attempt failed",
@@ -209,7 +210,7 @@
             "delivered" to delivered.size,
         )
         abandonAttempt()
-        recover(reason, endpoint, reached, saidNotRun)
+        recover(reason, endpoint, reached, saidNotRun, cacheRefused)
     }
 
     private fun abandonAttempt() {
@@ -223,10 +224,21 @@
         endpoint: EndpointId?,
         reached: Boolean,
         saidNotRun: Boolean,
+        cacheRefused: Boolean = false,
     ) {
         val last = checkNotNull(attempt) { "request $id failed before its first attempt" }
         if (failedAt == null) failedAt = lastTokenAt ?: caller.arrived
-        val failed = FailedAttempt(last.number, last.chain, reason, endpoint, delivered.size, reached, saidNotRun)
+        val failed =
+            FailedAttempt(
+                number = last.number,
+                chain = last.chain,
+                reason = reason,
+                endpoint = endpoint,
+                delivered = delivered.size,
+                reached = reached,
+                saidNotRun = saidNotRun,
+                cacheRefused = cacheRefused,
+            )
         recovery.recover(failed) { decided -> if (!finished && attempt === last) follow(last, failed, decided) }
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/StreamRecovery.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/StreamRecovery.kt
@@ -21,7 +21,7 @@
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
 
-/** A failed attempt as the session knows it. */
+/** A failed attempt as the session knows it; [cacheRefused] says that a stage does not hold the KV cache to reuse. */
 internal class FailedAttempt(
     val number: AttemptNumber,
     val chain: Chain,
@@ -30,6 +30,7 @@
     val delivered: Int,
     val reached: Boolean,
     val saidNotRun: Boolean,
+    val cacheRefused: Boolean = false,
 )
 
 /** What a session does after a failed attempt. */
@@ -64,6 +65,7 @@
     private var mayHaveRun = false
     private var attemptsWithoutProgress = 0
     private var lastDelivered = 0
+    private var cacheRefused = false
 
     fun admitted() {
         retries.admitted(context.now(), team, budgetName)
@@ -139,7 +141,9 @@
                 avoid += repair.failed
                 sameChainAttempts = if (repair.chain == failed.chain) sameChainAttempts + 1 else 0
                 context.metrics.retried(repair.reason)
-                Recovery.Resume(if (failed.delivered == 0) recomputing(repair) else repair, decision.after)
+                cacheRefused = cacheRefused || failed.cacheRefused
+                val recompute = cacheRefused || failed.delivered == 0
+                Recovery.Resume(if (recompute) recomputing(repair) else repair, decision.after)
             }
         }
     }
@@ -152,7 +156,10 @@
         return (prefill / whole).coerceIn(0.0, 1.0)
     }
 
-    /** Before the first token an engine may not hold a session yet, so nothing can be reused. */
+    /**
+     * Before the first token an engine may not hold a session yet, and an engine whose earlier attempt still runs may
+     * not offer its session, so nothing is reused.
+     */
     private fun recomputing(repair: Repair.Resume): Repair.Resume =
         repair.copy(cache = repair.chain.stages.map { StageCache.Recompute })
 
