--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/DemandShare.kt
@@ -0,0 +1,182 @@
+package oriolespindle.core.fairness
+
+import kotlinx.serialization.Serializable
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.time.Timestamp
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** The demand of one team at one instance. */
+@Serializable
+public data class TeamDemand(
+    public val team: TeamId,
+    public val tokensPerSecond: Double,
+)
+
+/** The demand at one instance, which it sends to its peers; [sequence] grows with each report. */
+@Serializable
+public data class DemandReport(
+    public val sequence: Long,
+    public val demands: List<TeamDemand>,
+)
+
+/**
+ * Settings of [DemandShare].
+ *
+ * @property window the time over which demand is measured.
+ * @property drainTime the time in which waiting requests should be served.
+ * @property lifetime how long the last report of a silent instance counts.
+ * @property minimumPart the part of a team's weight that any instance may use, so that a first request does not wait.
+ */
+public data class DemandSettings(
+    public val window: Duration = 500.milliseconds,
+    public val drainTime: Duration = 200.milliseconds,
+    public val lifetime: Duration = 3.seconds,
+    public val minimumPart: Double = 0.001,
+)
+
+/**
+ * Divides the weight of each team over the instances by the demand that the team has at each.
+ *
+ * A team that sends through many instances thereby has the same total weight as one that sends through one.
+ */
+public class DemandShare(
+    private val self: InstanceId,
+    private val settings: DemandSettings = DemandSettings(),
+) {
+    private val own = mutableMapOf<TeamId, Meter>()
+    private var waiting = mapOf<TeamId, Double>()
+    private val reports = mutableMapOf<InstanceId, PeerReport>()
+    private var sequence = 0L
+
+    /**
+     * Counts a request of [team] that has arrived at this instance and will probably use [tokens].
+     *
+     * See [FairQueue.expected]; counting the most that it may use would favour instances whose teams set high limits.
+     */
+    public fun offered(
+        now: Timestamp,
+        team: TeamId,
+        tokens: Double,
+    ) {
+        own.getOrPut(team) { Meter(settings.window) }.add(now, tokens)
+    }
+
+    /**
+     * Returns the report to send to all peers, about every 200 ms.
+     *
+     * [waitingTokens] are those of [FairQueue.waiting]. They count as demand, so that a team's weight moves to where
+     * its requests wait.
+     */
+    public fun report(
+        now: Timestamp,
+        waitingTokens: Map<TeamId, Double>,
+    ): DemandReport {
+        waiting = waitingTokens
+        own.entries.removeIf { (team, meter) -> meter.rate(now) < NEGLIGIBLE && team !in waiting }
+        return DemandReport(++sequence, own.keys.map { TeamDemand(it, ownDemand(now, it)) })
+    }
+
+    /** Takes the [report] of the instance [from]; one that was overtaken is ignored. */
+    public fun received(
+        now: Timestamp,
+        from: InstanceId,
+        report: DemandReport,
+    ) {
+        val known = reports[from]
+        if (from == self || (known != null && known.sequence >= report.sequence)) return
+        reports[from] = PeerReport(now, report.sequence, report.demands.associate { it.team to it.tokensPerSecond })
+    }
+
+    /** Returns the weights of teams at this instance, given their [contractWeights]. */
+    public fun weights(
+        now: Timestamp,
+        contractWeights: Map<TeamId, Double>,
+    ): Map<TeamId, Double> {
+        val totals = totals(now)
+        return contractWeights.mapValues { (team, weight) -> weight * part(now, team, totals) }
+    }
+
+    /**
+     * Returns the part of [capacity], in tokens per second, that this instance should use when all is in demand.
+     *
+     * It is the sum of what the teams get in a weighted max-min division of the capacity, each taken by the part of its
+     * demand that is at this instance.
+     */
+    public fun capacityPart(
+        now: Timestamp,
+        contractWeights: Map<TeamId, Double>,
+        capacity: Double,
+    ): Double {
+        val totals = totals(now)
+        val shares = MaxMin.divide(capacity, totals, contractWeights)
+        val used = shares.values.sum()
+        if (used <= 0.0) return 1.0 / (live(now).size + 1)
+        return shares.entries.sumOf { (team, share) -> share * part(now, team, totals) } / used
+    }
+
+    private fun part(
+        now: Timestamp,
+        team: TeamId,
+        totals: Map<TeamId, Double>,
+    ): Double {
+        val total = totals[team] ?: 0.0
+        if (total <= 0.0) return 1.0
+        val mine = ownDemand(now, team)
+        return (mine / total).coerceIn(settings.minimumPart, 1.0)
+    }
+
+    private fun ownDemand(
+        now: Timestamp,
+        team: TeamId,
+    ): Double {
+        val backlog = (waiting[team] ?: 0.0) / settings.drainTime.toDouble(DurationUnit.SECONDS)
+        return (own[team]?.rate(now) ?: 0.0) + backlog
+    }
+
+    private fun totals(now: Timestamp): Map<TeamId, Double> {
+        val totals = mutableMapOf<TeamId, Double>()
+        for (team in own.keys) totals.merge(team, ownDemand(now, team), Double::plus)
+        for (report in live(now)) {
+            for ((team, rate) in report.demands) totals.merge(team, rate, Double::plus)
+        }
+        return totals
+    }
+
+    private fun live(now: Timestamp): Collection<PeerReport> {
+        reports.values.removeIf { now - it.at > settings.lifetime }
+        return reports.values
+    }
+
+    private class PeerReport(
+        val at: Timestamp,
+        val sequence: Long,
+        val demands: Map<TeamId, Double>,
+    )
+
+    /** An exponentially decaying rate. */
+    private class Meter(
+        private val window: Duration,
+    ) {
+        private var level = 0.0
+        private var at: Timestamp? = null
+
+        fun add(
+            now: Timestamp,
+            amount: Double,
+        ) {
+            level = rate(now) + amount / window.toDouble(DurationUnit.SECONDS)
+            at = now
+        }
+
+        fun rate(now: Timestamp): Double = at?.let { level * exp(-((now - it) / window)) } ?: 0.0
+    }
+
+    private companion object {
+        const val NEGLIGIBLE = 1e-3
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/MaxMin.kt
@@ -0,0 +1,28 @@
+package oriolespindle.core.fairness
+
+import oriolespindle.core.id.TeamId
+
+/** Weighted max-min division of a capacity. */
+internal object MaxMin {
+    /**
+     * Returns what each team gets of [capacity]: all that it demands, or a part in proportion to its weight if it
+     * demands more. What teams with less demand leave is divided in the same way. A team without a weight has 1.
+     */
+    fun divide(
+        capacity: Double,
+        demands: Map<TeamId, Double>,
+        weights: Map<TeamId, Double>,
+    ): Map<TeamId, Double> {
+        val shares = mutableMapOf<TeamId, Double>()
+        var left = capacity
+        var weightLeft = demands.keys.sumOf { weights[it] ?: 1.0 }
+        for ((team, demand) in demands.entries.sortedBy { it.value / (weights[it.key] ?: 1.0) }) {
+            val weight = weights[team] ?: 1.0
+            val share = minOf(demand, left * weight / weightLeft)
+            shares[team] = share
+            left -= share
+            weightLeft -= weight
+        }
+        return shares
+    }
+}
