--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/order/OrderFleet.kt
@@ -0,0 +1,176 @@
+package oriolespindle.core.order
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.lease.LeaseAction
+import oriolespindle.core.lease.LeaseFleet
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** An engine that takes orders; it counts what a correct holder never causes. */
+internal class FakeEngine(
+    val id: EndpointId,
+    val checksFence: Boolean,
+    var state: EndpointState,
+) {
+    /** The layers that it can run now. */
+    var holds = state.layers
+        private set
+    var newestFence = 0L
+    var accepted = 0
+    var stale = 0
+    var overlapping = 0
+
+    fun take(
+        send: OrderAction.Send,
+        fleet: OrderFleet,
+    ): OrderAnswer {
+        if (checksFence && send.fence < newestFence) {
+            stale++
+            return OrderAnswer.StaleFence(newestFence)
+        }
+        newestFence = maxOf(newestFence, send.fence)
+        if (state.loading) overlapping++
+        accepted++
+        when (val command = send.order.command) {
+            is OrderCommand.ChangeRole -> state = state.copy(role = command.role)
+            is OrderCommand.Unload -> unload()
+            is OrderCommand.Load -> load(command, fleet)
+        }
+        return OrderAnswer.Accepted
+    }
+
+    private fun unload() {
+        holds = null
+        state = EndpointState(null, null, null, role = state.role)
+    }
+
+    private fun load(
+        command: OrderCommand.Load,
+        fleet: OrderFleet,
+    ) {
+        val done = EndpointState(command.model, command.layers, command.version, command.adapter, state.role)
+        val keeps = holds?.let { state.version == command.version && it in command.layers } ?: false
+        if (!keeps) holds = null
+        state = done.copy(layers = holds, loading = true)
+        fleet.loading(command.bytes)
+        fleet.lease.time.after(fleet.loadTime) {
+            state = done
+            holds = command.layers
+        }
+    }
+}
+
+/** Lease holders and order machines of several instances with fake engines, in virtual time. */
+internal class OrderFleet(
+    seed: Long,
+    size: Int,
+    engines: List<FakeEngine>,
+    private val settings: OrderSettings = OrderSettings(),
+) {
+    val lease = LeaseFleet(seed, size)
+    val engines = engines.associateBy { it.id }
+    val machines = lease.nodes.map { OrderMachine(settings) }
+    val reports = ArrayList<OrderAction.Report>()
+    var loadTime: Duration = 3.seconds
+    var loads = ArrayList<Pair<Timestamp, Long>>()
+
+    /** Freezes the sender of the next order for this long after its last check and before the bytes are written. */
+    var freezeAfterCheck: Duration? = null
+
+    /** Says whether the answer to the next order is lost, after the engine took it. */
+    var loseAnswer: () -> Boolean = { false }
+
+    init {
+        lease.nodes.forEachIndexed { index, node ->
+            node.onAction = { action -> leaseChanged(index, action) }
+            val all = OrderEvent.Endpoints(engines.map { OrderedEndpoint(it.id, it.checksFence) })
+            tell(index, all)
+            tick(index)
+        }
+    }
+
+    fun desire(vararg orders: OperatorOrder) =
+        machines.indices.forEach { tell(it, OrderEvent.Desired(orders.toList())) }
+
+    fun run(duration: Duration) = lease.time.run(duration)
+
+    fun loading(bytes: Long) {
+        loads += lease.time.now to bytes
+    }
+
+    private fun tell(
+        index: Int,
+        event: OrderEvent,
+    ) {
+        val node = lease.nodes[index]
+        if (node.thaw() > lease.time.now) {
+            lease.time.at(node.thaw()) { tell(index, event) }
+            return
+        }
+        machines[index].handle(node.clock(), event).forEach { perform(index, it) }
+    }
+
+    private fun tick(index: Int) {
+        lease.time.after(100.milliseconds) {
+            val node = lease.nodes[index]
+            if (node.thaw() == lease.time.now) tell(index, OrderEvent.Tick)
+            tick(index)
+        }
+    }
+
+    private fun leaseChanged(
+        index: Int,
+        action: LeaseAction,
+    ) {
+        val held = (action as? LeaseAction.Held)?.let { OrderLease(it.fence, it.quietFrom, it.validUntil) }
+        tell(index, OrderEvent.LeaseChanged(held))
+    }
+
+    private fun perform(
+        index: Int,
+        action: OrderAction,
+    ) {
+        when (action) {
+            is OrderAction.Report -> {
+                reports += action
+            }
+
+            is OrderAction.ReadState -> {
+                lease.time.after(2.milliseconds) {
+                    val state = engines.getValue(action.endpoint).state
+                    lease.time.after(2.milliseconds) { tell(index, OrderEvent.StateRead(action.endpoint, state)) }
+                }
+            }
+
+            is OrderAction.Send -> {
+                send(index, action)
+            }
+        }
+    }
+
+    private fun send(
+        index: Int,
+        action: OrderAction.Send,
+    ) {
+        val node = lease.nodes[index]
+        if (node.thaw() > lease.time.now) {
+            lease.time.at(node.thaw()) { send(index, action) }
+            return
+        }
+        if (node.clock() > action.notAfter) {
+            tell(index, OrderEvent.Answered(action.order.endpoint, OrderAnswer.NotSent))
+            return
+        }
+        freezeAfterCheck?.let {
+            node.frozenUntil = lease.time.now + it
+            freezeAfterCheck = null
+        }
+        lease.time.at(node.thaw() + 2.milliseconds) {
+            val answer = engines.getValue(action.order.endpoint).take(action, this)
+            val seen = if (loseAnswer()) OrderAnswer.Lost else answer
+            lease.time.after(2.milliseconds) { tell(index, OrderEvent.Answered(action.order.endpoint, seen)) }
+        }
+    }
+}
