--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/CacheExchange.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/CacheExchange.kt
@@ -44,7 +44,8 @@
     private val cache: ObjectCache,
     private val settings: CacheExchangeSettings = CacheExchangeSettings(),
 ) {
-    private var lastDigest: Timestamp? = null
+    private var lastRequest: Timestamp? = null
+    private var lastReply: Timestamp? = null
 
     /** Returns what to pass on after [changes] of the cache, from whatever source they came. */
     public fun changed(changes: List<ObjectChange>): List<ExchangeAction> {
@@ -60,7 +61,9 @@
         contentHash: Long,
     ): List<ExchangeAction> {
         cache.apply(now, ObjectEvent.PeerConfirmed(revision, contentHash))
-        return if (contentHash == cache.contentHash) emptyList() else sendDigest(now, peer)
+        if (contentHash == cache.contentHash || !due(now, lastRequest)) return emptyList()
+        lastRequest = now
+        return listOf(ExchangeAction.SendDigest(peer, cache.digest()))
     }
 
     /** Handles the digest of a peer: the peer gets what it may lack, and the own digest when it may know more. */
@@ -73,16 +76,14 @@
         if (cache.matches(digest)) return emptyList()
         val items = cache.difference(digest)
         val objects = if (items.isEmpty()) emptyList() else listOf(ExchangeAction.SendObjects(peer, items))
-        return objects + sendDigest(now, peer)
+        if (!due(now, lastReply)) return objects
+        lastReply = now
+        val settled = digest.kinds.all { it.buckets.size == 1 } && items.isNotEmpty()
+        return objects + ExchangeAction.SendDigest(peer, cache.digest(detailed = !settled))
     }
 
-    private fun sendDigest(
+    private fun due(
         now: Timestamp,
-        peer: InstanceId,
-    ): List<ExchangeAction> {
-        val last = lastDigest
-        if (last != null && now - last < settings.digestInterval) return emptyList()
-        lastDigest = now
-        return listOf(ExchangeAction.SendDigest(peer, cache.digest()))
-    }
+        last: Timestamp?,
+    ): Boolean = last == null || now - last >= settings.digestInterval
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/KindCache.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/KindCache.kt
@@ -53,7 +53,10 @@
         return missing.mapNotNull { apply(StoredObject.tombstone(it.key, revision)) }
     }
 
-    fun digest(): KindDigest = KindDigest(kind, known, buckets(bucketCount(liveCount)))
+    fun digest(detailed: Boolean): KindDigest {
+        val count = if (detailed) bucketCount(liveCount) else 1
+        return KindDigest(kind, known, buckets(count))
+    }
 
     /** Whether [digest] describes the same live objects. */
     fun matches(digest: KindDigest): Boolean = digest.buckets.sum() == contentHash
@@ -66,7 +69,7 @@
         val differing = own.indices.filter { own[it] != digest.buckets[it] }.toSet()
         val candidates = objects.values.filter { bucketOf(it.key.name, count) in differing }
         val newer = candidates.filter { it.version > digest.known }
-        return newer.ifEmpty { candidates }
+        return if (newer.isEmpty() && fine(count)) candidates else newer
     }
 
     private fun store(
@@ -84,7 +87,11 @@
         objects[after.key.name] = after
     }
 
+    /** The sender of a coarse digest gets the own detailed one instead of every object of the kind. */
+    private fun fine(buckets: Int): Boolean = buckets * 2 >= bucketCount(liveCount)
+
     private fun buckets(count: Int): List<Long> {
+        if (count == 1) return listOf(contentHash)
         val sums = LongArray(count)
         objects.values
             .filter { !it.deleted }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectCache.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectCache.kt
@@ -47,8 +47,13 @@
     /** Returns the live objects of [kind]. */
     public fun live(kind: ObjectKind): List<StoredObject> = caches[kind]?.live().orEmpty()
 
-    /** Returns the description of the live objects that peers compare with their own. */
-    public fun digest(): CacheDigest = CacheDigest(caches.values.map { it.digest() })
+    /**
+     * Returns the description of the live objects that peers compare with their own.
+     *
+     * One hash and the complete revision of each kind are enough for a peer that is only behind. A [detailed] digest
+     * has a hash for about eight objects.
+     */
+    public fun digest(detailed: Boolean = false): CacheDigest = CacheDigest(caches.values.map { it.digest(detailed) })
 
     /** Whether [digest] describes the same live objects. */
     public fun matches(digest: CacheDigest): Boolean =
@@ -57,8 +62,8 @@
     /**
      * Returns the objects that the sender of [digest] may lack, tombstones included.
      *
-     * Objects newer than the sender's complete revision come first; only when there are none are all objects of the
-     * differing buckets returned, so that the sender can answer which of them are deleted.
+     * Objects newer than the sender's complete revision come first; only when there are none, and the digest is
+     * detailed, are all objects of the differing buckets returned, so that the sender can answer which are deleted.
      */
     public fun difference(digest: CacheDigest): List<StoredObject> =
         caches.flatMap { (kind, cache) ->
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ObjectCacheTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ObjectCacheTest.kt
@@ -120,7 +120,7 @@
     private fun exchange(peers: List<ObjectCache>): List<ObjectCache> {
         for (from in peers) {
             for (to in peers - from) {
-                to.apply(now, ObjectEvent.FromPeer(from.difference(to.digest())))
+                to.apply(now, ObjectEvent.FromPeer(from.difference(to.digest(detailed = true))))
                 to.apply(now, ObjectEvent.PeerDigest(from.digest()))
             }
         }
@@ -153,7 +153,13 @@
 
             4 -> {
                 ObjectEvent.FromPeer(
-                    cache().also { it.apply(now, history.listAt(revision)) }.difference(cache.digest()),
+                    cache()
+                        .also {
+                            it.apply(
+                                now,
+                                history.listAt(revision),
+                            )
+                        }.difference(cache.digest(random.nextBoolean())),
                 )
             }
 
