Start completions in the fair order of their teams

Cause: completions started in the order of arrival, so that a team that sends much delays the others. Ruled out: a fixed number of places for each instance, which idles when the balancer spreads unevenly. Change: a fair queue for each model, places from the plan's bound at 35 ms between tokens and this instance's part of the fleet's demand; instances tell each other their demand every 200 ms.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -21,6 +21,7 @@
 import oriolespindle.router.lifecycle.ShutdownCoordinator
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.peer.PeerMessage
 import oriolespindle.router.peer.PeerNetwork
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.platform.PlatformInstance
@@ -105,7 +106,11 @@
             metrics = metrics,
             jitter = random::nextDouble,
             isLive = { it in liveInstances },
-            listeners = RequestListeners({ state.contracts(it) }, { state.used(it) }),
+            listeners = RequestListeners(
+                    contracts = { state.contracts(it) },
+                    used = { state.used(it) },
+                    demand = { state.broadcast(PeerMessage.Demand(it)) },
+                ),
             createContext = ::requestContext,
             createRoutes = { context, onPlanned -> modelRoutes(context, random, onPlanned) },
         )
@@ -120,6 +125,7 @@
             shares = requests::shares,
             paused = requests::wokeFromPause,
             removed = ::removed,
+            demand = requests::demand,
             evidence = {},
         )
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -61,6 +61,9 @@
     @Volatile
     var onWritable: (Boolean) -> Unit = {}
 
+    /** Whether the answer is complete or its connection closed. */
+    val isEnded: Boolean get() = ended.get()
+
     val isWritable: Boolean get() = ctx.channel().isWritable
 
     fun header(name: String): String? = head.headers().get(name)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
@@ -5,9 +5,9 @@
 import oriolespindle.core.config.CacheDigest
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
-import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.limit.ShareMessage
 import oriolespindle.core.membership.Gossip
@@ -96,11 +96,11 @@
         public val items: List<EvidenceItem>,
     ) : PeerMessage()
 
-    /** The demand at the sender by team, in tokens per second. */
+    /** The demand at the sender by team. */
     @Serializable
     @SerialName("demand")
     public data class Demand(
-        public val teams: Map<TeamId, Double>,
+        public val content: DemandReport,
     ) : PeerMessage() {
         override val gossip: Boolean get() = true
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
@@ -18,6 +18,7 @@
     private val endpoints: EndpointStates,
     private val retries: RetryPolicy,
     private val admission: Admission,
+    private val scheduler: FairScheduler,
 ) {
     private val sender = AttemptSender(context)
     private val probe = EndpointProbe(context)
@@ -40,11 +41,29 @@
         admission.admit(
             caller = caller,
             cost = cost,
-            admitted = { permit -> start(caller, request, permit) },
+            admitted = { permit -> schedule(caller, request, permit) },
             refused = { outcome -> refuse(caller, outcome) },
         )
     }
 
+    private fun schedule(
+        caller: CallerRequest,
+        request: CompletionRequest,
+        permit: Permit,
+    ) {
+        val waiting =
+            WaitingCompletion(
+                caller = caller,
+                request = request,
+                start = { if (caller.exchange.isEnded) abandoned(request, permit) else start(caller, request, permit) },
+                refused = { outcome ->
+                    admission.settle(permit, TokenCost.NONE)
+                    refuse(caller, outcome)
+                },
+            )
+        scheduler.offer(waiting)
+    }
+
     private fun refuse(
         caller: CallerRequest,
         outcome: CallOutcome.NotRun,
@@ -95,13 +114,24 @@
         session.start()
     }
 
+    /** Frees the place of a request whose caller closed its connection before its turn. */
+    private fun abandoned(
+        request: CompletionRequest,
+        permit: Permit,
+    ) {
+        admission.settle(permit, TokenCost.NONE)
+        scheduler.finished(request, permit.team, TokenCost.NONE)
+    }
+
     private fun ended(
         session: CompletionSession,
         request: CompletionRequest,
         permit: Permit,
     ) {
         sessions.remove(session.id)
-        admission.settle(permit, TokenCost(request.promptTokens, session.deliveredTokens))
+        val actual = TokenCost(request.promptTokens, session.deliveredTokens)
+        admission.settle(permit, actual)
+        scheduler.finished(request, permit.team, actual)
     }
 
     private fun query(
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/FairScheduler.kt
@@ -0,0 +1,171 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.fairness.DemandReport
+import oriolespindle.core.fairness.DemandShare
+import oriolespindle.core.fairness.FairEntry
+import oriolespindle.core.fairness.FairQueue
+import oriolespindle.core.fairness.OfferResult
+import oriolespindle.core.fairness.PollResult
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ModelId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.limit.TokenCost
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/** A completion that waits for its turn. */
+internal class WaitingCompletion(
+    val caller: CallerRequest,
+    val request: CompletionRequest,
+    val start: () -> Unit,
+    val refused: (CallOutcome.NotRun) -> Unit,
+) {
+    val cost: TokenCost = TokenCost(request.promptTokens, request.maxTokens)
+}
+
+/**
+ * Starts completions in the fair order of their teams.
+ *
+ * Each model has a number of sessions that its engines can run together with 35 ms between tokens; this instance uses
+ * the part of them that its part of the fleet's demand gives it, and the rest of its requests wait in the fair queue.
+ */
+internal class FairScheduler(
+    private val context: RequestContext,
+    private val routes: ModelRoutes,
+) {
+    private class ModelQueue {
+        val queue = FairQueue<WaitingCompletion>()
+        var running = 0
+        var sessions = 1
+
+        /** A session that ends at once frees its place while places are being filled; the loop then goes on. */
+        var isFilling = false
+    }
+
+    private val models = HashMap<ModelId, ModelQueue>()
+    private val demand = DemandShare(context.instance)
+
+    /** The number of completions that wait. */
+    val waiting: Int get() = models.values.sumOf { it.queue.size }
+
+    /** Starts [waiting] now or in its turn, or refuses it. */
+    fun offer(waiting: WaitingCompletion) {
+        val now = context.now()
+        val contract = waiting.caller.contract
+        val model = models.getOrPut(waiting.request.model) { newQueue(now, waiting.request.model) }
+        demand.offered(now, contract.team, model.queue.expected(contract.team, waiting.cost))
+        val entry = FairEntry(contract.team, waiting.cost, waiting.caller.deadline, contract.queueLength, waiting)
+        when (val result = model.queue.offer(now, entry)) {
+            is OfferResult.Queued -> pump(now, model)
+            is OfferResult.Refused -> waiting.refused(refusal(result.reason, result.retryAfter))
+        }
+    }
+
+    /** Frees the place of a completion that has ended. */
+    fun finished(
+        request: CompletionRequest,
+        team: TeamId,
+        actual: TokenCost,
+    ) {
+        val now = context.now()
+        val model = models[request.model] ?: return
+        model.running--
+        model.queue.settle(now, team, TokenCost(request.promptTokens, request.maxTokens), actual)
+        pump(now, model)
+    }
+
+    /** Refuses what can no longer start in time and fills free places. */
+    fun tick(now: Timestamp) {
+        for (model in models.values.toList()) {
+            model.queue.expire(now).forEach { expired ->
+                expired.entry.payload.refused(refusal(RefusalReason.DEADLINE_UNREACHABLE, expired.retryAfter))
+            }
+            pump(now, model)
+        }
+    }
+
+    /** Takes the demand at another instance. */
+    fun received(
+        from: InstanceId,
+        report: DemandReport,
+    ) = demand.received(context.now(), from, report)
+
+    /** Adapts weights and places to the demand of the fleet and returns the demand here for the other instances. */
+    fun adapt(now: Timestamp): DemandReport {
+        val waitingTokens = HashMap<TeamId, Double>()
+        for (model in models.values) {
+            model.queue.waiting().forEach { (team, tokens) -> waitingTokens.merge(team, tokens, Double::plus) }
+        }
+        val report = demand.report(now, waitingTokens)
+        val weights = context.contracts.contracts().associate { it.team to it.weight }
+        val parts = demand.weights(now, weights)
+        for ((id, model) in models) {
+            model.queue.weights(now, parts)
+            model.sessions = sessions(now, id, weights)
+        }
+        return report
+    }
+
+    private fun newQueue(
+        now: Timestamp,
+        model: ModelId,
+    ): ModelQueue {
+        val weights = context.contracts.contracts().associate { it.team to it.weight }
+        val queue = ModelQueue()
+        queue.queue.weights(now, weights)
+        queue.sessions = sessions(now, model, weights)
+        return queue
+    }
+
+    private fun sessions(
+        now: Timestamp,
+        model: ModelId,
+        weights: Map<TeamId, Double>,
+    ): Int {
+        val bound = routes.plan(model)?.bound ?: return 1
+        val all = bound * TOKEN_INTERVAL.toDouble(DurationUnit.SECONDS)
+        return (all * demand.capacityPart(now, weights, bound)).toInt().coerceAtLeast(1)
+    }
+
+    private fun pump(
+        now: Timestamp,
+        model: ModelQueue,
+    ) {
+        if (model.isFilling) return
+        model.isFilling = true
+        fill(now, model)
+        model.isFilling = false
+    }
+
+    private fun fill(
+        now: Timestamp,
+        model: ModelQueue,
+    ) {
+        while (model.running < model.sessions) {
+            when (val next = model.queue.poll(now)) {
+                is PollResult.Empty -> {
+                    return
+                }
+
+                is PollResult.Start -> {
+                    model.running++
+                    next.entry.payload.start()
+                }
+            }
+        }
+    }
+
+    private fun refusal(
+        reason: RefusalReason,
+        retryAfter: Duration,
+    ) = CallOutcome.NotRun(reason, "the request cannot start by its deadline or its team's queue is full", retryAfter)
+
+    private companion object {
+        /** The time between two tokens that 95 of 100 requests must meet; more sessions than fit would exceed it. */
+        val TOKEN_INTERVAL = 35.milliseconds
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -6,6 +6,7 @@
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.id.EndpointId
+import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ModelId
 import oriolespindle.core.id.TeamId
@@ -28,6 +29,7 @@
 internal class RequestListeners(
     val contracts: (List<TeamSlots>) -> Unit,
     val used: (UsageReport) -> Unit,
+    val demand: (DemandReport) -> Unit,
 )
 
 /** Handles callers' requests from arrival to answer, on one thread. */
@@ -45,11 +47,13 @@
     private val endpoints = EndpointStates(context.directory)
     private val retries = RetryPolicy(jitter = jitter)
     private val admission = Admission(context)
-    private val completions = Completions(context, routes, endpoints, retries, admission)
+    private val scheduler = FairScheduler(context, routes)
+    private val completions = Completions(context, routes, endpoints, retries, admission, scheduler)
     private val services = ServiceCalls(context, ServiceSender(context, endpoints), retries, admission, isLive)
     private val api = CallerApi(context, completions::handle, services::handle)
 
     private var configured = false
+    private var demandDue = Timestamp(Long.MIN_VALUE)
     private var usageDue = Timestamp(Long.MIN_VALUE)
 
     /** Whether the first configuration is in force and every model has its plan. */
@@ -79,6 +83,14 @@
     /** Takes new shares of limits and answers with what is used of them. */
     fun shares(update: ShareUpdate) = context.continueWith { listeners.used(admission.apply(update)) }
 
+    /** Takes the demand at another instance; a full ring buffer drops it, since the next one follows. */
+    fun demand(
+        from: InstanceId,
+        report: DemandReport,
+    ) {
+        component.offer(RequestMessage.Continue { scheduler.received(from, report) })
+    }
+
     /** Learns that this process was paused. */
     fun wokeFromPause() = context.continueWith { services.wokeFromPause() }
 
@@ -157,6 +169,11 @@
         val now = context.now()
         completions.tick(now)
         admission.retryHeld()
+        scheduler.tick(now)
+        if (now >= demandDue) {
+            demandDue = now + DEMAND_INTERVAL
+            listeners.demand(scheduler.adapt(now))
+        }
         if (now >= usageDue) {
             usageDue = now + USAGE_INTERVAL
             listeners.used(admission.usage())
@@ -191,6 +208,8 @@
         const val RING_CAPACITY = 16_384
         val TICK = 20.milliseconds
 
+        val DEMAND_INTERVAL = 200.milliseconds
+
         /** The ledger bases transfers on the usage of the last second, so ten reports in it are enough. */
         val USAGE_INTERVAL = 100.milliseconds
         val OVERLOAD_RETRY = 500.milliseconds
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -9,6 +9,7 @@
 import oriolespindle.core.config.RolloutStatus
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.config.WriteResult
+import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.limit.ShareSettings
@@ -43,6 +44,7 @@
     val shares: (ShareUpdate) -> Unit,
     val paused: () -> Unit,
     val removed: () -> Unit,
+    val demand: (InstanceId, DemandReport) -> Unit,
     val evidence: (PeerMessage.Evidence) -> Unit,
 )
 
@@ -205,6 +207,7 @@
         if (fleet.received(now, received.from, message)) return
         when (message) {
             is PeerMessage.Share -> shares.received(now, received.from, message.content)
+            is PeerMessage.Demand -> listeners.demand(received.from, message.content)
             is PeerMessage.Evidence -> listeners.evidence(message)
             else -> Unit
         }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
@@ -8,6 +8,8 @@
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
 import org.junit.jupiter.api.Test
+import oriolespindle.core.fairness.DemandReport
+import oriolespindle.core.fairness.TeamDemand
 import oriolespindle.core.config.ObjectKey
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.Revision
@@ -44,7 +46,7 @@
             PeerMessage.Share(ShareMessage.Counters(listOf(KeyCount(LimitKey(TeamId("a"), LimitKind.REQUESTS), 10)))),
             PeerMessage.Share(ShareMessage.Probe(7)),
             PeerMessage.Evidence(listOf(EvidenceItem("f1", EndpointId("e1"), "router-1/4", 3, 1_500))),
-            PeerMessage.Demand(mapOf(TeamId("a") to 12.5)),
+            PeerMessage.Demand(DemandReport(3, listOf(TeamDemand(TeamId("a"), 12.5)))),
         )
 
     private fun frame(message: PeerMessage): ByteArray {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerQueueTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerQueueTest.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
-import oriolespindle.core.id.TeamId
+import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.limit.ShareMessage
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -12,7 +12,7 @@
 class PeerQueueTest {
     private val frame = ByteArray(10)
 
-    private fun gossip(number: Int) = PeerMessage.Demand(mapOf(TeamId("t") to number.toDouble()))
+    private fun gossip(number: Int) = PeerMessage.Demand(DemandReport(number.toLong(), emptyList()))
 
     private fun counters(number: Long) = PeerMessage.Share(ShareMessage.Probe(number))
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
@@ -3,8 +3,8 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
+import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.id.InstanceId
-import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.limit.ShareMessage
 import oriolespindle.core.membership.Gossip
@@ -67,7 +67,7 @@
 
     private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
-    private fun demand(number: Int) = PeerMessage.Demand(mapOf(TeamId("t") to number.toDouble()))
+    private fun demand(number: Int) = PeerMessage.Demand(DemandReport(number.toLong(), emptyList()))
 
     private fun ping(node: Node) = PeerMessage.Ping(Gossip(MemberRecord(node.id, ZoneId("zone-a"), node.address), 1))
 
