--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/ChainSelector.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/ChainSelector.kt
@@ -134,11 +134,28 @@
         return seconds(secondsForToken(now, query, candidate(chain, rate = 0.0)))
     }
 
+    /** Returns the expected time for one token at one [endpoint], infinite if it is unknown. */
+    internal fun stageTime(
+        now: Timestamp,
+        query: RouteQuery,
+        endpoint: EndpointId,
+    ): Duration = loads[endpoint]?.let { seconds(stageSeconds(now, query, it)) } ?: Duration.INFINITE
+
+    /** Returns the first stage behind a link that is much slower than planned, or null. */
+    internal fun degradedStage(
+        now: Timestamp,
+        chain: Chain,
+    ): EndpointId? {
+        if (chain.stages.any { it.endpoint !in loads }) return null
+        val hops = chain.stages.zipWithNext()
+        return hops.find { (from, to) -> link(from.endpoint, to.endpoint).isDegraded(now) }?.second?.endpoint
+    }
+
     /** Returns the planned rate of the link between two endpoints, or null if one is unknown. */
     internal fun linkRate(
         from: EndpointId,
         to: EndpointId,
-    ): LinkRate? = loads[from]?.let { a -> loads[to]?.let { b -> links.get(a.spec, b.spec).rate } }
+    ): LinkRate? = if (from in loads && to in loads) link(from, to).rate else null
 
     /** Returns whether [endpoint] is known and may receive new work. */
     internal fun isServing(endpoint: EndpointId): Boolean = (loads[endpoint]?.weight ?: 0.0) > 0
@@ -203,10 +220,7 @@
             ChainSplicer(
                 model = checkNotNull(topology).model,
                 endpoints = usable.map { it.spec },
-                stageCost = { spec ->
-                    val load = loads.getValue(spec.id)
-                    (load.sessions(now, query.priority, sessionTime) + 1) / load.rate()
-                },
+                stageCost = { spec -> stageSeconds(now, query, loads.getValue(spec.id)) },
                 hopCost = { from, to ->
                     val link = links.get(from, to)
                     link.latency(now).toDouble(DurationUnit.SECONDS) + 1 / link.rate.tokensPerSecond
@@ -238,6 +252,17 @@
         candidate: ChainCandidate,
     ): Double = candidate.secondsForToken(now, query, sessionTime, settings.crossZoneLatency)
 
+    private fun stageSeconds(
+        now: Timestamp,
+        query: RouteQuery,
+        load: EndpointLoad,
+    ): Double = (load.sessions(now, query.priority, sessionTime) + 1) / load.rate()
+
+    private fun link(
+        from: EndpointId,
+        to: EndpointId,
+    ): LinkState = links.get(loads.getValue(from).spec, loads.getValue(to).spec)
+
     private fun prefillTokens(query: RouteQuery): Double = query.promptTokens * settings.promptTokenCost
 
     private fun seconds(value: Double): Duration = (value * NANOS_PER_SECOND).nanoseconds
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/LinkStates.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/LinkStates.kt
@@ -24,11 +24,16 @@
 
     fun latency(now: Timestamp): Duration = if (isRecent(now)) observed.nanoseconds else rate.latency
 
+    fun isDegraded(now: Timestamp): Boolean = latency(now) > rate.latency * DEGRADED_FACTOR
+
     private fun isRecent(now: Timestamp): Boolean = !observed.isNaN() && now - observedAt <= horizon
 
     private companion object {
         /** Two observations of a degraded link outweigh any number of earlier ones. */
         const val OBSERVATION_SHARE = 0.5
+
+        /** Links of one fleet differ 100 times; a tenth of that is beyond the usual variation of one link. */
+        const val DEGRADED_FACTOR = 10
     }
 }
 
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/stream/RecoveryPlanner.kt
@@ -0,0 +1,190 @@
+package oriolespindle.core.stream
+
+import oriolespindle.core.chain.Chain
+import oriolespindle.core.chain.ChainChoice
+import oriolespindle.core.chain.ChainSelector
+import oriolespindle.core.chain.Stage
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.outcome.RetryReason
+import oriolespindle.core.outcome.UnknownReason
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The settings of a [RecoveryPlanner]. */
+public data class RecoverySettings(
+    /** The cost of a token in a prefill relative to a generated one; prefills are computed in large batches. */
+    val prefillTokenCost: Double = 0.1,
+    /** The size of the KV cache of one token in one layer relative to the activations of one token on a link. */
+    val cacheSizePerLayer: Double = 0.25,
+    /** How long a probe on a new connection may take; it needs no computation at the endpoint. */
+    val probeTimeout: Duration = 100.milliseconds,
+    /** The time to open a connection and send the request again. */
+    val reconnect: Duration = 5.milliseconds,
+    /** How often a request is resumed on an unchanged chain before another chain is tried. */
+    val sameChainAttempts: Int = 1,
+    /** When a caller is told to come back after a refusal. */
+    val retryAfter: Duration = 1.seconds,
+)
+
+/**
+ * Decides how a streamed request goes on after a failure.
+ *
+ * A reset is acted on at once. Silence alone says nothing about the endpoints, so they are probed on new connections
+ * first; if all answer, only the connection is given up and the same chain is used again. Otherwise a chain that keeps
+ * the healthy stages is compared with one chosen freely.
+ */
+public class RecoveryPlanner(
+    private val settings: RecoverySettings,
+) {
+    /** Returns the repair with the least expected time to the end of the answer. */
+    public fun repair(
+        now: Timestamp,
+        failure: StageFailure,
+        selector: ChainSelector,
+    ): Repair {
+        if (failure.isSilence() && failure.probe == null) {
+            return Repair.ProbeConnection(failure.chain.stages.map { it.endpoint }, settings.probeTimeout)
+        }
+        val cause = cause(now, failure, selector)
+        val sameChain = if (cause.allowsSameChain) resumeSameChain(now, failure, selector, cause) else null
+        if (sameChain != null && failure.sameChainAttempts < settings.sameChainAttempts) return sameChain
+        return cheapest(now, failure, selector, cause) ?: sameChain ?: giveUp(failure)
+    }
+
+    private fun cause(
+        now: Timestamp,
+        failure: StageFailure,
+        selector: ChainSelector,
+    ): Cause {
+        val probe = failure.probe
+        if (failure.isSilence() && probe != null) {
+            if (probe.silent.isNotEmpty()) return Cause(RetryReason.TOKEN_GAP, probe.silent)
+            val degraded = selector.degradedStage(now, failure.chain)
+            if (degraded != null) return Cause(RetryReason.LINK_DEGRADED, setOf(degraded), isSourceAlive = true)
+            return sameChainCause(failure, RetryReason.SILENT_CONNECTION)
+        }
+        val first =
+            failure.chain.stages
+                .first()
+                .endpoint
+        val blamed = setOfNotNull(failure.endpoint)
+        return when (failure.reason) {
+            RetryReason.TRUNCATED_ANSWER -> {
+                sameChainCause(failure, failure.reason)
+            }
+
+            RetryReason.LINK_DEGRADED, RetryReason.ENDPOINT_LEAVING -> {
+                Cause(failure.reason, blamed, isSourceAlive = true)
+            }
+
+            RetryReason.CONNECTION_RESET, RetryReason.CONNECT_FAILED, RetryReason.ENDPOINT_BUSY -> {
+                Cause(failure.reason, blamed.ifEmpty { setOf(first) })
+            }
+
+            else -> {
+                Cause(failure.reason, blamed)
+            }
+        }
+    }
+
+    // A fault that returns on the same chain without a stage to blame is most likely a link that no report shows. Other
+    // chains are then tried first, but the same one is still better than none.
+    private fun sameChainCause(
+        failure: StageFailure,
+        reason: RetryReason,
+    ): Cause {
+        val isRepeated = failure.sameChainAttempts >= settings.sameChainAttempts
+        val suspects = if (isRepeated) failure.chain.stages.mapTo(HashSet()) { it.endpoint } else emptySet()
+        return Cause(reason, suspects, allowsSameChain = true)
+    }
+
+    private fun resumeSameChain(
+        now: Timestamp,
+        failure: StageFailure,
+        selector: ChainSelector,
+        cause: Cause,
+    ): Repair? {
+        if (failure.chain.stages.any { !selector.isServing(it.endpoint) }) return null
+        val token = selector.timeForToken(now, failure.query, failure.chain) ?: return null
+        val cache = failure.chain.stages.map { StageCache.Reuse }
+        return Repair.Resume(failure.chain, cache, settings.reconnect + token, cause.reason, failed = emptySet())
+    }
+
+    private fun cheapest(
+        now: Timestamp,
+        failure: StageFailure,
+        selector: ChainSelector,
+        cause: Cause,
+    ): Repair? {
+        val healthy = failure.chain.stages.filter { it.endpoint !in cause.failed && selector.isServing(it.endpoint) }
+        val query = failure.query.copy(avoid = failure.query.avoid + cause.failed, keep = emptyList())
+        val choices = listOf(query.copy(keep = healthy), query).map { selector.choose(now, it) }
+        val chains = choices.filterIsInstance<ChainChoice.Chosen>().map { it.chain }.distinct()
+        val plans = chains.mapNotNull { plan(now, failure, selector, cause, it) }
+        val best = plans.minByOrNull { it.total } ?: return null
+        if (failure.reason == RetryReason.LINK_DEGRADED) {
+            val token = selector.timeForToken(now, failure.query, failure.chain)
+            if (token != null && token * failure.remaining() <= best.total) return Repair.Continue
+        }
+        return best.repair
+    }
+
+    private fun plan(
+        now: Timestamp,
+        failure: StageFailure,
+        selector: ChainSelector,
+        cause: Cause,
+        chain: Chain,
+    ): RepairPlan? {
+        val token = selector.timeForToken(now, failure.query, chain) ?: return null
+        val estimate = CacheEstimate(settings, now, failure, selector)
+        val options = listOf(true, false).map { imports -> chain.stages.map { source(failure, cause, it, imports) } }
+        val (cache, restore) =
+            options.distinct().map { it to estimate.restoreTime(chain, it) }.minBy { (_, time) -> time }
+        val wait = settings.reconnect + restore + token
+        val resume = Repair.Resume(chain, cache, wait, cause.reason, cause.failed)
+        return RepairPlan(resume, total = wait + token * failure.remaining())
+    }
+
+    private fun source(
+        failure: StageFailure,
+        cause: Cause,
+        stage: Stage,
+        imports: Boolean,
+    ): StageCache {
+        val holder = failure.chain.stages.find { stage.layers in it.layers }
+        return when {
+            holder == null -> StageCache.Recompute
+            holder.endpoint == stage.endpoint && holder.endpoint !in cause.failed -> StageCache.Reuse
+            imports && (holder.endpoint !in cause.failed || cause.isSourceAlive) -> StageCache.Import(holder.endpoint)
+            else -> StageCache.Recompute
+        }
+    }
+
+    private fun giveUp(failure: StageFailure): Repair {
+        val message = "no chain can take over request ${failure.query.request} after ${failure.reason.code}"
+        if (failure.mayHaveRun) return Repair.GiveUp(CallOutcome.Unknown(UnknownReason.STREAM_LOST, message))
+        return Repair.GiveUp(CallOutcome.NotRun(RefusalReason.NO_CHAIN, message, settings.retryAfter))
+    }
+
+    private class Cause(
+        val reason: RetryReason,
+        val failed: Set<EndpointId>,
+        val isSourceAlive: Boolean = false,
+        val allowsSameChain: Boolean = false,
+    )
+
+    private class RepairPlan(
+        val repair: Repair.Resume,
+        val total: Duration,
+    )
+}
+
+private fun StageFailure.isSilence(): Boolean =
+    reason == RetryReason.TOKEN_GAP || reason == RetryReason.SILENT_CONNECTION
+
+private fun StageFailure.remaining(): Int = (query.maxTokens - delivered).coerceAtLeast(1)
