Report readiness only once the allotment of limits is known; add process tests of claims, limits and changes

Cause: a test that cut the platform right after readiness got 429 for a claimed call: the instance was ready before the allotment existed, so that it held no units of any limit. Ruled out: admitting without units, which would break the contract's bound in a cut. Change: readiness needs a known allotment, read from the platform or from a peer.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -89,7 +89,7 @@
         shutdown.request()
     }
 
-    private fun isReady(): Boolean = requests.isReady && shutdown.isReady
+    private fun isReady(): Boolean = requests.isReady && state.hasAllotment && shutdown.isReady
 
     /** Collects the status of each component on that component's own thread. */
     private fun status(answer: (JsonObject) -> Unit) {
@@ -106,7 +106,8 @@
             metrics = metrics,
             jitter = random::nextDouble,
             isLive = { it in liveInstances },
-            listeners = RequestListeners(
+            listeners =
+                RequestListeners(
                     contracts = { state.contracts(it) },
                     used = { state.used(it) },
                     demand = { state.broadcast(PeerMessage.Demand(it)) },
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ShareSync.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ShareSync.kt
@@ -44,6 +44,9 @@
     private var reading = false
     private var known: StoredObject? = null
 
+    /** Whether an allotment was read, without which nothing can be admitted. */
+    val hasAllotment: Boolean get() = known != null
+
     fun start() = readAllotment()
 
     fun tick(now: Timestamp) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -90,6 +90,11 @@
     var revision: Long = 0
         private set
 
+    /** Whether this instance knows the allotment and can hold units of limits. */
+    @Volatile
+    var hasAllotment: Boolean = false
+        private set
+
     init {
         metrics.gauge("oriolespindle.configuration.revision") { revision }
         metrics.gauge("oriolespindle.ring.state") { component.depth }
@@ -174,6 +179,7 @@
             is StateMessage.Run -> message.block()
             is StateMessage.Tick -> tick(now)
         }
+        hasAllotment = shares.hasAllotment
         if (revision != cache.revision.value) {
             revision = cache.revision.value
             fleet.configured(now)
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/ClaimProcessTest.kt
@@ -0,0 +1,75 @@
+package oriolespindle.router.process
+
+import org.junit.jupiter.api.Test
+import oriolespindle.testkit.AnswerLoss
+import oriolespindle.testkit.platform.PlatformFault
+import oriolespindle.testkit.service.ServiceFault
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.util.concurrent.CompletableFuture
+
+/** Guards against a non-idempotent call that runs twice, or is said not to have run when it has. */
+class ClaimProcessTest {
+    @Test
+    fun `one key through two instances at the same time has one effect`() {
+        TestFleet(enginesPerRange = 1).use { fleet ->
+            val replies =
+                (0 until CALLS)
+                    .map { n -> CompletableFuture.supplyAsync { fleet.order(n % 2, "same-key") } }
+                    .map { it.get() }
+
+            expectThat(fleet.services[0].effects().total).isEqualTo(1)
+            expectThat(replies.count { it.headers["oriolespindle-outcome"] == "not_run" }).isEqualTo(0)
+        }
+    }
+
+    @Test
+    fun `a call whose answer is lost is unknown and a repeat through another instance does not send it again`() {
+        TestFleet(enginesPerRange = 1).use { fleet ->
+            fleet.services[0].inject(ServiceFault.LoseAnswers(AnswerLoss(next = 1)))
+
+            val first = fleet.order(0, "lost-answer")
+            val repeat = fleet.order(1, "lost-answer")
+
+            expectThat(first.headers["oriolespindle-outcome"]).isEqualTo("unknown")
+            expectThat(repeat.headers["oriolespindle-outcome"]).isEqualTo("unknown")
+            expectThat(fleet.services[0].effects().total).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `a lost answer to the claim is read back and the call runs once`() {
+        TestFleet(enginesPerRange = 1).use { fleet ->
+            fleet.platform.inject(PlatformFault.LoseAnswers(AnswerLoss(next = 1)))
+
+            val reply = fleet.order(0, "lost-claim")
+
+            expectThat(reply.status).isEqualTo(200)
+            expectThat(fleet.services[0].effects().total).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `an instance that is killed while its call runs leaves an unknown outcome that no other instance repeats`() {
+        TestFleet(enginesPerRange = 1).use { fleet ->
+            fleet.services[0].inject(ServiceFault.Slow(SLOW_MILLIS))
+            val first = CompletableFuture.supplyAsync { runCatching { fleet.order(0, "killed") } }
+            while (fleet.services[0].effects().total == 0) Thread.sleep(POLL_MILLIS)
+            fleet.routers[0].kill()
+            first.get()
+
+            val repeat = fleet.order(1, "killed")
+
+            expectThat(repeat.headers["oriolespindle-outcome"]).isEqualTo("unknown")
+            expectThat(repeat.body).contains("claim_")
+            expectThat(fleet.services[0].effects().total).isEqualTo(1)
+        }
+    }
+
+    private companion object {
+        const val CALLS = 8
+        const val SLOW_MILLIS = 3_000L
+        const val POLL_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/LimitProcessTest.kt
@@ -0,0 +1,51 @@
+package oriolespindle.router.process
+
+import org.junit.jupiter.api.Test
+import oriolespindle.testkit.http.TestClient
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.time.TimeSource
+
+/** Guards against a contract's rate that is exceeded over several instances, or that one instance cannot use alone. */
+class LimitProcessTest {
+    @Test
+    fun `all of a team's calls through one of three instances get the rate of the contract and not more`() {
+        TestFleet(routers = 3, enginesPerRange = 1, requestsPerSecond = RATE).use { fleet ->
+            call(fleet, WARM_UP_SECONDS)
+            val start = TimeSource.Monotonic.markNow()
+            val done = call(fleet, SECONDS)
+            val allowed = RATE * (start.elapsedNow().inWholeMilliseconds / 1_000.0)
+
+            expectThat(done / allowed).isLessThanOrEqualTo(MOST)
+            expectThat(done / allowed).isGreaterThanOrEqualTo(LEAST)
+        }
+    }
+
+    /** Calls one instance faster than the contract allows for about [seconds] and returns how many calls ran. */
+    private fun call(
+        fleet: TestFleet,
+        seconds: Int,
+    ): Int {
+        val client = TestClient(fleet.routers[0].address)
+        val start = TimeSource.Monotonic.markNow()
+        var done = 0
+        while (start.elapsedNow().inWholeSeconds < seconds) {
+            val reply = client.call("GET", "/services/orders/stock", headers = TestFleet.AUTHORIZATION)
+            if (reply.status == 200) done++
+        }
+        return done
+    }
+
+    private companion object {
+        const val RATE = 50.0
+        const val WARM_UP_SECONDS = 3
+        const val SECONDS = 10
+
+        /** The contract's tolerance over 10 s. */
+        const val MOST = 1.02
+
+        /** A fixed split would give one of three instances a third; the time to move units is proved in virtual time. */
+        const val LEAST = 0.5
+    }
+}
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/TestFleet.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/TestFleet.kt
@@ -19,6 +19,7 @@
     services: Int = 1,
     tokenDelay: Duration = 10.milliseconds,
     routerFlags: List<String> = emptyList(),
+    private val requestsPerSecond: Double = 1000.0,
 ) : AutoCloseable {
     private val processes = ProcessFleet(routerClassPath = System.getProperty("java.class.path"))
 
@@ -99,7 +100,7 @@
         return heads + tails + servers +
             FleetObject("model", MODEL, """{"layers":$LAYERS}""") +
             FleetObject("service", SERVICE, """{"nonIdempotentMethods":["POST"]}""") +
-            FleetObject("contract", "team-a", contract())
+            FleetObject("contract", "team-a", contract(requestsPerSecond = requestsPerSecond))
     }
 
     private fun engineObject(
@@ -120,7 +121,7 @@
         const val KEY = "team-a-test-key"
         private const val MIDDLE = 20
         private const val RATE = 1000.0
-        private val AUTHORIZATION = mapOf("Authorization" to "Bearer $KEY")
+        val AUTHORIZATION = mapOf("Authorization" to "Bearer $KEY")
         private val CALL_LIMIT = 60.seconds
 
         fun contract(
