Test fair shares over nine uneven instances against FIFO

Cause: the targets for competing teams have to be shown over several instances that receive the load unevenly. Conclusion: the targets hold where a share over 1 s is at least about 140 requests; below that the quantum of one request for each instance limits the precision.

--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/fairness/FairFleet.kt
@@ -0,0 +1,192 @@
+package oriolespindle.core.fairness
+
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.limit.TokenCost
+import oriolespindle.core.time.Timestamp
+import java.util.PriorityQueue
+import java.util.SplittableRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A team in the simulation.
+ *
+ * @property demand in tokens per second.
+ * @property size tokens of a request.
+ * @property overestimate the most tokens that may be generated, as a multiple of those that are.
+ * @property spread the part of the team's load that each instance receives.
+ */
+internal class SimulatedTeam(
+    val name: String,
+    val weight: Double,
+    val demand: Double,
+    val size: Int,
+    val spread: List<Double>,
+    val overestimate: Int = 1,
+) {
+    val id = TeamId(name)
+    val waits = mutableListOf<Duration>()
+    val servedBySecond = mutableMapOf<Long, Long>()
+    val demandBySecond = mutableMapOf<Long, Long>()
+    var waiting = 0L
+    var refused = 0
+    var pending = 0.0
+
+    fun served(
+        from: Int,
+        to: Int,
+    ): Long = (from until to).sumOf { servedBySecond[it.toLong()] ?: 0 }
+}
+
+/** Instances with fair queues, or one FIFO queue, in front of slots that each process requests at the same rate. */
+internal class FairFleet(
+    seed: Long,
+    private val teams: List<SimulatedTeam>,
+    instances: Int = 9,
+    private val slots: Int = 400,
+    private val isFair: Boolean = true,
+    private val queueLength: Int = 100,
+) {
+    private class Call(
+        val team: SimulatedTeam,
+        val actual: TokenCost,
+        val estimated: TokenCost,
+        val at: Timestamp,
+    )
+
+    private class Node(
+        index: Int,
+    ) {
+        val id = InstanceId("i$index")
+        val queue = FairQueue<Call>()
+        val demand = DemandShare(id)
+        var part = 1.0
+        var pass = 0.0
+    }
+
+    private class Done(
+        val at: Timestamp,
+        val node: Node,
+        val call: Call,
+    )
+
+    val capacity = slots * TOKENS_PER_SLOT
+    private val random = SplittableRandom(seed)
+    private val weights = teams.associate { it.id to it.weight }
+    private val nodes = List(instances, ::Node)
+    private val fifo = ArrayDeque<Pair<Node, Call>>()
+    private val running = PriorityQueue<Done>(compareBy { it.at })
+    private var now = Timestamp.ZERO
+    private var pass = 0.0
+
+    fun run(time: Duration) {
+        val end = Timestamp.ZERO + time
+        while (now < end) {
+            now += 1.milliseconds
+            while (running.isNotEmpty() && running.peek().at <= now) finish(running.poll())
+            teams.forEach(::arrive)
+            if (now.nanos % 200_000_000 == 0L) exchange()
+            if (now.nanos % 100_000_000 == 0L) expire()
+            while (running.size < slots) if (!startNext()) break
+        }
+    }
+
+    private fun arrive(team: SimulatedTeam) {
+        // Arrivals vary by half of the mean from one to the next.
+        team.pending += team.demand / 1000 * (0.5 + random.nextDouble())
+        while (team.pending >= team.size) {
+            team.pending -= team.size
+            val node = nodes[pick(team.spread)]
+            val actual = TokenCost(team.size / 2, team.size - team.size / 2)
+            val call = Call(team, actual, actual.copy(generated = actual.generated * team.overestimate), now)
+            demand(team, team.size.toLong())
+            node.demand.offered(now, team.id, node.queue.expected(team.id, call.estimated))
+            offer(node, call)
+        }
+    }
+
+    private fun demand(
+        team: SimulatedTeam,
+        tokens: Long,
+    ) {
+        team.demandBySecond.merge(now.nanos / 1_000_000_000, tokens, Long::plus)
+    }
+
+    private fun offer(
+        node: Node,
+        call: Call,
+    ) {
+        val entry = FairEntry(call.team.id, call.estimated, now + 2.seconds, queueLength, call)
+        val isQueued =
+            when {
+                isFair -> node.queue.offer(now, entry) is OfferResult.Queued
+                else -> fifo.size < FIFO_LENGTH && fifo.add(node to call)
+            }
+        if (isQueued) call.team.waiting += call.actual.total else call.team.refused++
+    }
+
+    private fun pick(spread: List<Double>): Int {
+        var left = random.nextDouble() * spread.sum()
+        for ((i, part) in spread.withIndex()) {
+            left -= part
+            if (left <= 0) return i
+        }
+        return spread.lastIndex
+    }
+
+    private fun exchange() {
+        for (node in nodes) {
+            val report = node.demand.report(now, node.queue.waiting())
+            nodes.forEach { it.demand.received(now, node.id, report) }
+        }
+        for (node in nodes) {
+            node.queue.weights(now, node.demand.weights(now, weights))
+            node.part = node.demand.capacityPart(now, weights, capacity).coerceAtLeast(1e-3)
+        }
+    }
+
+    private fun expire() {
+        for (expired in nodes.flatMap { it.queue.expire(now) }) {
+            val call = expired.entry.payload
+            call.team.refused++
+            call.team.waiting -= call.actual.total
+        }
+    }
+
+    /** Starts a request of the instance that has used the least of its part of the capacity. */
+    private fun startNext(): Boolean {
+        if (!isFair) {
+            val (node, call) = fifo.removeFirstOrNull() ?: return false
+            start(node, call)
+            return true
+        }
+        val node = nodes.filter { it.queue.size > 0 }.minByOrNull { maxOf(it.pass, pass) } ?: return false
+        val result = node.queue.poll(now) as? PollResult.Start ?: return true
+        pass = maxOf(node.pass, pass)
+        node.pass = pass + result.entry.payload.actual.total / node.part
+        start(node, result.entry.payload)
+        return true
+    }
+
+    private fun start(
+        node: Node,
+        call: Call,
+    ) {
+        call.team.waiting -= call.actual.total
+        call.team.waits += now - call.at + PREFILL
+        call.team.servedBySecond.merge(now.nanos / 1_000_000_000, call.actual.total, Long::plus)
+        running += Done(now + (call.actual.total / TOKENS_PER_SLOT).seconds, node, call)
+    }
+
+    private fun finish(done: Done) {
+        if (isFair) done.node.queue.settle(now, done.call.team.id, done.call.estimated, done.call.actual)
+    }
+
+    companion object {
+        const val TOKENS_PER_SLOT = 100.0
+        const val FIFO_LENGTH = 2000
+        val PREFILL = 50.milliseconds
+    }
+}
