--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/limit/ShareLedgerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/limit/ShareLedgerTest.kt
@@ -23,8 +23,17 @@
         fleet.nodes[4].rate = 400.0
         fleet.run(12.seconds)
 
+        // Without messages between instances each keeps an equal part, which is a fixed split.
+        val split = ShareFleet(seed = 1, size = 9, contract)
+        split.run(2.seconds)
+        split.faults = LinkFaults(loss = 1.0)
+        split.nodes[4].rate = 400.0
+        split.run(12.seconds)
+
         val rate = fleet.admittedIn(start + 2.seconds, start + 12.seconds) / 10.0
-        println("limit: skew from idle: ${rate / 2}% of the contract usable from 2 s on, sum ${fleet.largestSum}")
+        val splitRate = split.admittedIn(start + 2.seconds, start + 12.seconds) / 10.0
+        println("limit: skew from idle: ${rate / 2}% of the contract usable from 2 s on, fixed split ${splitRate / 2}%")
+        expectThat(splitRate).isLessThanOrEqualTo(200 / 9.0 * 1.05)
         expectThat(rate).isGreaterThanOrEqualTo(0.95 * 200)
         expectThat(fleet.largestSum).isLessThanOrEqualTo(total)
     }
