--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/CacheExchange.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/CacheExchange.kt
@@ -23,11 +23,13 @@
         public val items: List<StoredObject>,
     ) : ExchangeAction
 
+    /** Send [items] to the one peer that may lack them. */
     public data class SendObjects(
         public val to: InstanceId,
         public val items: List<StoredObject>,
     ) : ExchangeAction
 
+    /** Send [digest] to a peer whose configuration differs. */
     public data class SendDigest(
         public val to: InstanceId,
         public val digest: CacheDigest,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectKey.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/ObjectKey.kt
@@ -13,16 +13,37 @@
     override fun toString(): String = code
 
     public companion object {
+        /** A customer team's contract. */
         public val CONTRACT: ObjectKind = ObjectKind("contract")
+
+        /** A language model. */
         public val MODEL: ObjectKind = ObjectKind("model")
+
+        /** A server that runs layers of a model or a plain service. */
         public val ENDPOINT: ObjectKind = ObjectKind("endpoint")
+
+        /** A plain service. */
         public val SERVICE: ObjectKind = ObjectKind("service")
+
+        /** An operator's request that an endpoint receives no new work. */
         public val DRAIN: ObjectKind = ObjectKind("drain")
+
+        /** An operator's order to an endpoint. */
         public val ORDER: ObjectKind = ObjectKind("order")
+
+        /** The right to act for the whole fleet. */
         public val LEASE: ObjectKind = ObjectKind("lease")
+
+        /** The record of a call that may run at most once. */
         public val CLAIM: ObjectKind = ObjectKind("claim")
+
+        /** The initial distribution of limits over instances. */
         public val ALLOTMENT: ObjectKind = ObjectKind("allotment")
+
+        /** A router instance. */
         public val INSTANCE: ObjectKind = ObjectKind("instance")
+
+        /** An operator's credentials. */
         public val OPERATOR: ObjectKind = ObjectKind("operator")
 
         /** The kinds that every instance keeps; claims, leases and instances are read when they are needed. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchDuty.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchDuty.kt
@@ -1,9 +1,9 @@
 package oriolespindle.core.config
 
-import com.dynatrace.hash4j.hashing.Hashing
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.membership.Member
+import oriolespindle.core.membership.Rendezvous
 import oriolespindle.core.time.Timestamp
 import java.util.random.RandomGenerator
 import kotlin.time.Duration
@@ -44,9 +44,7 @@
     /** Returns what this instance does, given the instances that it knows. */
     public fun role(members: List<Member>): WatchRole {
         val others = members.filter { it.record.zone == zone && it.reachable && it.id != self }.map { it.id }
-        val own = score(self)
-        val ahead = others.count { before(it, own) }
-        return if (ahead < settings.watchersPerZone) WatchRole.WATCH else WatchRole.LISTEN
+        return if (RENDEZVOUS.rank(self, others) < settings.watchersPerZone) WatchRole.WATCH else WatchRole.LISTEN
     }
 
     /** Returns when a listening instance lists the platform next; the first time is random in one interval. */
@@ -58,18 +56,8 @@
         nextCheck = now + settings.checkInterval * (1 + JITTER * (random.nextDouble() - 0.5))
     }
 
-    private fun before(
-        other: InstanceId,
-        own: Long,
-    ): Boolean {
-        val score = score(other)
-        return score > own || (score == own && other < self)
-    }
-
-    private fun score(instance: InstanceId): Long = HASHER.hashCharsToLong(instance.value)
-
     private companion object {
-        val HASHER = Hashing.wyhashFinal4(0x776174636864757L)
+        val RENDEZVOUS = Rendezvous("watch")
 
         /** Spreads lists that would otherwise stay in step after an outage. */
         const val JITTER = 0.2
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchLiveness.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchLiveness.kt
@@ -16,6 +16,7 @@
 
 /** What happened to a watch. */
 public enum class WatchSignal {
+    /** This instance begins to watch. */
     START,
 
     /** Any line arrived, an idle line included. */
@@ -32,7 +33,13 @@
 }
 
 /** What to do with the connection of a watch. */
-public enum class WatchStep { OPEN, CLOSE }
+public enum class WatchStep {
+    /** Open a new connection from the revision that is complete now. */
+    OPEN,
+
+    /** Close the connection; what still arrives on it is ignored. */
+    CLOSE,
+}
 
 /** Keeps one watch open: a watch without a line for some seconds is closed and opened again on a new connection. */
 public class WatchLiveness(
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WriteEvent.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WriteEvent.kt
@@ -4,6 +4,7 @@
 
 /** What happened to a conditional write. */
 public sealed interface WriteEvent {
+    /** Begin; the first event of every write. */
     public data object Start : WriteEvent
 
     /** The platform answered that the write landed as [version]. */
@@ -40,6 +41,7 @@
         public val expected: Revision?,
     ) : WriteAction
 
+    /** Read the object back and deliver [WriteEvent.ReadBack]. */
     public data class Read(
         public val key: ObjectKey,
     ) : WriteAction
@@ -49,6 +51,7 @@
         public val until: Timestamp,
     ) : WriteAction
 
+    /** The write is over; no other action follows. */
     public data class Finish(
         public val result: WriteResult,
     ) : WriteAction
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lease/LeaseEvent.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lease/LeaseEvent.kt
@@ -33,7 +33,19 @@
 }
 
 /** Why a lease is no longer held. */
-public enum class LeaseLoss { EXPIRED, TAKEN, PAUSED, RELEASED }
+public enum class LeaseLoss {
+    /** No renewal landed in time. */
+    EXPIRED,
+
+    /** Another instance holds it. */
+    TAKEN,
+
+    /** The process was paused; a renewal that lands gives it back. */
+    PAUSED,
+
+    /** This instance gave it up. */
+    RELEASED,
+}
 
 /** What a lease holder asks its caller to do. */
 public sealed interface LeaseAction {
@@ -56,6 +68,7 @@
         public val validUntil: Timestamp,
     ) : LeaseAction
 
+    /** The lease must not be used any more. */
     public data class Lost(
         public val reason: LeaseLoss,
     ) : LeaseAction
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/membership/MembershipEvent.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/membership/MembershipEvent.kt
@@ -9,10 +9,12 @@
     /** The time of [Membership.nextTimer], or any later time, has come. */
     public data object Tick : MembershipEvent
 
+    /** A heartbeat arrived, which is answered. */
     public data class PingReceived(
         public val gossip: Gossip,
     ) : MembershipEvent
 
+    /** The answer to a heartbeat arrived. */
     public data class AckReceived(
         public val gossip: Gossip,
     ) : MembershipEvent
@@ -40,11 +42,13 @@
 
 /** What membership asks its caller to do. */
 public sealed interface MembershipAction {
+    /** Send a heartbeat. */
     public data class SendPing(
         public val to: MemberRecord,
         public val gossip: Gossip,
     ) : MembershipAction
 
+    /** Answer a heartbeat. */
     public data class SendAck(
         public val to: MemberRecord,
         public val gossip: Gossip,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/order/OperatorOrder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/order/OperatorOrder.kt
@@ -42,7 +42,13 @@
 }
 
 /** The parts of an endpoint's state that orders set independently. */
-public enum class OrderPart { WEIGHTS, ROLE }
+public enum class OrderPart {
+    /** The model, layers, version and adapter that an endpoint holds. */
+    WEIGHTS,
+
+    /** The role that an endpoint has. */
+    ROLE,
+}
 
 /**
  * An operator's order, stored as the object [name] at [version].
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/order/OrderEvent.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/order/OrderEvent.kt
@@ -52,6 +52,7 @@
 
 /** What became of an order that was sent. */
 public sealed interface OrderAnswer {
+    /** The engine began the order; its effect is still to be read back. */
     public data object Accepted : OrderAnswer
 
     /** The engine has seen the newer token [fence]; another instance holds the lease. */
