--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -110,6 +110,7 @@
                 RequestListeners(
                     contracts = { state.contracts(it) },
                     used = { state.used(it) },
+                    evidence = { state.broadcast(PeerMessage.Evidence(it)) },
                     demand = { state.broadcast(PeerMessage.Demand(it)) },
                 ),
             createContext = ::requestContext,
@@ -127,7 +128,7 @@
             paused = requests::wokeFromPause,
             removed = ::removed,
             demand = requests::demand,
-            evidence = {},
+            evidence = requests::evidence,
         )
 
     /** The platform has terminated this instance and its units belong to others, so it can only end. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerMessage.kt
@@ -5,8 +5,8 @@
 import oriolespindle.core.config.CacheDigest
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.crash.CrashEvidence
 import oriolespindle.core.fairness.DemandReport
-import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.limit.ShareMessage
@@ -93,7 +93,7 @@
     @Serializable
     @SerialName("evidence")
     public data class Evidence(
-        public val items: List<EvidenceItem>,
+        public val items: List<CrashEvidence>,
     ) : PeerMessage()
 
     /** The demand at the sender by team. */
@@ -114,19 +114,3 @@
     public val zone: ZoneId,
     public val address: String,
 )
-
-/** One crash of [endpoint] in which the request with [fingerprint] was one of [suspects] requests in flight. */
-@Serializable
-public data class EvidenceItem(
-    @SerialName("f")
-    public val fingerprint: String,
-    @SerialName("e")
-    public val endpoint: EndpointId,
-    /** Names the crash at the instance that observed it, so that repeated evidence is counted once. */
-    @SerialName("c")
-    public val crash: String,
-    @SerialName("s")
-    public val suspects: Int,
-    @SerialName("a")
-    public val ageMillis: Long,
-)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -3,6 +3,8 @@
 import oriolespindle.core.chain.Chain
 import oriolespindle.core.chain.ChainChoice
 import oriolespindle.core.chain.RouteQuery
+import oriolespindle.core.crash.Admission
+import oriolespindle.core.crash.Fingerprint
 import oriolespindle.core.id.AttemptNumber
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.outcome.CallOutcome
@@ -34,6 +36,7 @@
     private val caller: CallerRequest,
     private val request: CompletionRequest,
     private val query: RouteQuery,
+    private val crashes: CrashCheck,
     private val onFinished: (CompletionSession) -> Unit,
 ) {
     val id = caller.id
@@ -50,10 +53,47 @@
     private var wasPaused = false
     private var lastTokenAt: Timestamp? = null
     private var failedAt: Timestamp? = null
+    private val fingerprint = Fingerprint.of(caller.contract.team, request.model.value, request.prompt.toByteArray())
+    private var runningOn: List<EndpointId>? = null
     private var finished = false
 
     fun start() {
         recovery.admitted()
+        admitted { avoid -> choose(query.copy(avoid = query.avoid + avoid)) }
+    }
+
+    /** Calls [next] with the endpoints to avoid once the request may run, or ends a request that crashes endpoints. */
+    private fun admitted(next: (avoid: Set<EndpointId>) -> Unit) {
+        if (finished) return
+        when (val admission = crashes.admit(fingerprint)) {
+            is Admission.Free -> {
+                next(emptySet())
+            }
+
+            is Admission.Refuse -> {
+                end(quarantined())
+            }
+
+            is Admission.Isolate -> {
+                if (admission.wait > Duration.ZERO) {
+                    context.continueAfter(admission.wait) { admitted(next) }
+                } else {
+                    next(admission.avoid)
+                }
+            }
+        }
+    }
+
+    private fun quarantined(): CallOutcome {
+        val message = "this request was running at the crashes of several endpoints and is not sent again"
+        return if (attempt == null) {
+            CallOutcome.NotRun(RefusalReason.QUARANTINED, message)
+        } else {
+            CallOutcome.Unknown(UnknownReason.STREAM_LOST, message)
+        }
+    }
+
+    private fun choose(query: RouteQuery) {
         when (val choice = routes.selector(request.model)?.choose(context.now(), query)) {
             is ChainChoice.Chosen -> send(choice.chain, choice.chain.stages.map { StageCache.Recompute })
             is ChainChoice.Unavailable -> end(noChain(choice.reason, "no chain of endpoints covers all layers"))
@@ -106,6 +146,9 @@
         }
         attempt = next
         call = sent
+        val running = chain.stages.map { it.endpoint }
+        runningOn = running
+        crashes.started(fingerprint, running)
         assembler.attempt(now, number, chain, delivered.size)
         routes.selector(request.model)?.started(now, id, chain, request.maxTokens - delivered.size)
         val detector = routes.gapDetector(chain)
@@ -152,6 +195,7 @@
         context.metrics.done()
         responder.complete(count)
         call = null
+        abandonAttempt(complete = true)
         finish()
     }
 
@@ -209,14 +253,31 @@
             "reason" to reason.code,
             "delivered" to delivered.size,
         )
-        abandonAttempt()
-        recover(reason, endpoint, reached, saidNotRun, cacheRefused)
+        val broke = reason == RetryReason.CONNECTION_RESET || reason == RetryReason.STAGE_LOST
+        if (!broke || endpoint == null) {
+            abandonAttempt()
+            recover(reason, endpoint, reached, saidNotRun, cacheRefused)
+            return
+        }
+        call?.cancel()
+        call = null
+        gaps = null
+        val last = attempt
+        crashes.connectionBroke(endpoint) {
+            if (!finished && attempt === last) {
+                abandonAttempt()
+                recover(reason, endpoint, reached, saidNotRun, cacheRefused)
+            }
+        }
     }
 
-    private fun abandonAttempt() {
+    private fun abandonAttempt(complete: Boolean = false) {
         call?.cancel()
         call = null
         gaps = null
+        val running = runningOn ?: return
+        runningOn = null
+        crashes.finished(fingerprint, running, complete)
     }
 
     private fun recover(
@@ -274,13 +335,22 @@
         decided: Recovery.Resume,
     ) {
         abandonAttempt()
-        val repair = decided.repair
         if (decided.after > Duration.ZERO) {
-            context.continueAfter(decided.after) {
-                if (!finished && attempt === last) send(repair.chain, repair.cache)
-            }
+            context.continueAfter(decided.after) { if (attempt === last) sendAgain(decided) }
         } else {
-            send(repair.chain, repair.cache)
+            sendAgain(decided)
+        }
+    }
+
+    /** A request that was running at a crash is sent to a chain without other such requests, if there is one. */
+    private fun sendAgain(decided: Recovery.Resume) {
+        val repair = decided.repair
+        admitted { avoid ->
+            if (repair.chain.stages.none { it.endpoint in avoid }) {
+                send(repair.chain, repair.cache)
+            } else {
+                choose(query.copy(avoid = query.avoid + avoid + repair.failed))
+            }
         }
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
@@ -2,6 +2,7 @@
 
 import oriolespindle.core.chain.PrefixHash
 import oriolespindle.core.chain.RouteQuery
+import oriolespindle.core.crash.CrashEvidence
 import oriolespindle.core.id.AttemptNumber
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.limit.Permit
@@ -19,9 +20,11 @@
     private val retries: RetryPolicy,
     private val admission: Admission,
     private val scheduler: FairScheduler,
+    sendEvidence: (List<CrashEvidence>) -> Unit,
 ) {
     private val sender = AttemptSender(context)
     private val probe = EndpointProbe(context)
+    private val crashes = CrashCheck(context, probe, sendEvidence)
     private val sessions = HashMap<RequestId, CompletionSession>()
 
     val inProgress: Int get() = sessions.size
@@ -80,11 +83,15 @@
         sessions[request]?.engine(attempt, signal)
     }
 
+    /** Takes the evidence about crashes of another instance. */
+    fun evidence(items: List<CrashEvidence>) = crashes.received(items)
+
     fun callerGone(request: RequestId) {
         sessions[request]?.callerGone()
     }
 
     fun tick(now: Timestamp) {
+        crashes.tick(now)
         // A tick can end a session, which removes it from the map.
         sessions.values.toList().forEach { it.tick(now) }
     }
@@ -107,6 +114,7 @@
                 caller = caller,
                 request = request,
                 query = query,
+                crashes = crashes,
                 onFinished = { ended(it, request, permit) },
             )
         sessions[caller.id] = session
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CrashCheck.kt
@@ -0,0 +1,91 @@
+package oriolespindle.router.request
+
+import oriolespindle.core.crash.Admission
+import oriolespindle.core.crash.CrashEvidence
+import oriolespindle.core.crash.CrashGuard
+import oriolespindle.core.crash.CrashSettings
+import oriolespindle.core.crash.Fingerprint
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Feeds the crash guard with what happens to completions and exchanges its evidence with the other instances. */
+internal class CrashCheck(
+    private val context: RequestContext,
+    private val probe: EndpointProbe,
+    private val send: (List<CrashEvidence>) -> Unit,
+) {
+    private val guard = CrashGuard(CrashSettings(), context.instance)
+    private val probes = HashMap<EndpointId, MutableList<() -> Unit>>()
+    private var sentRevision = 0L
+    private var repeatFrom = 0L
+    private var repeatDue = Timestamp(Long.MIN_VALUE)
+
+    fun admit(fingerprint: Fingerprint): Admission = guard.admit(context.now(), fingerprint)
+
+    fun started(
+        fingerprint: Fingerprint,
+        endpoints: Collection<EndpointId>,
+    ) = guard.started(context.now(), fingerprint, endpoints)
+
+    fun finished(
+        fingerprint: Fingerprint,
+        endpoints: Collection<EndpointId>,
+        complete: Boolean,
+    ) = guard.finished(context.now(), fingerprint, endpoints, complete)
+
+    /**
+     * Finds out whether [endpoint], whose connection broke, has crashed, and then calls [result].
+     *
+     * An endpoint that accepts no new connection counts as crashed; requests that it lost together share one probe.
+     */
+    fun connectionBroke(
+        endpoint: EndpointId,
+        result: () -> Unit,
+    ) {
+        val waiting = probes[endpoint]
+        if (waiting != null) {
+            waiting += result
+            return
+        }
+        probes[endpoint] = mutableListOf(result)
+        probe.run(listOf(endpoint), PROBE_TIMEOUT) { probed ->
+            if (endpoint in probed.silent) crashed(endpoint)
+            probes.remove(endpoint)?.forEach { it() }
+        }
+    }
+
+    /** Takes the evidence of another instance. */
+    fun received(evidence: List<CrashEvidence>) = guard.merge(context.now(), evidence)
+
+    /** Sends new evidence at once and once more a little later, since messages to peers can be lost. */
+    fun tick(now: Timestamp) {
+        if (guard.revision > sentRevision) {
+            send(guard.evidence(sentRevision))
+            sentRevision = guard.revision
+            repeatDue = now + REPEAT_AFTER
+        } else if (repeatFrom < sentRevision && now >= repeatDue) {
+            send(guard.evidence(repeatFrom))
+            repeatFrom = sentRevision
+        }
+    }
+
+    private fun crashed(endpoint: EndpointId) {
+        val verdict = guard.crashed(context.now(), endpoint)
+        EventLog.warn(
+            "endpoint crashed",
+            "endpoint" to endpoint,
+            "suspects" to verdict.suspects.size,
+            "causes" to verdict.causes.size,
+        )
+        tick(context.now())
+    }
+
+    private companion object {
+        val PROBE_TIMEOUT: Duration = 250.milliseconds
+        val REPEAT_AFTER: Duration = 1.seconds
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -5,6 +5,7 @@
 import oriolespindle.core.chain.LoadReport
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.crash.CrashEvidence
 import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
@@ -30,6 +31,7 @@
     val contracts: (List<TeamSlots>) -> Unit,
     val used: (UsageReport) -> Unit,
     val demand: (DemandReport) -> Unit,
+    val evidence: (List<CrashEvidence>) -> Unit,
 )
 
 /** Handles callers' requests from arrival to answer, on one thread. */
@@ -48,7 +50,7 @@
     private val retries = RetryPolicy(jitter = jitter)
     private val admission = Admission(context)
     private val scheduler = FairScheduler(context, routes)
-    private val completions = Completions(context, routes, endpoints, retries, admission, scheduler)
+    private val completions = Completions(context, routes, endpoints, retries, admission, scheduler, listeners.evidence)
     private val services = ServiceCalls(context, ServiceSender(context, endpoints), retries, admission, isLive)
     private val api = CallerApi(context, completions::handle, services::handle)
 
@@ -91,6 +93,9 @@
         component.offer(RequestMessage.Continue { scheduler.received(from, report) })
     }
 
+    /** Takes another instance's evidence about endpoints that crashed. */
+    fun evidence(items: List<CrashEvidence>) = context.continueWith { completions.evidence(items) }
+
     /** Learns that this process was paused. */
     fun wokeFromPause() = context.continueWith { services.wokeFromPause() }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -9,6 +9,7 @@
 import oriolespindle.core.config.RolloutStatus
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.config.WriteResult
+import oriolespindle.core.crash.CrashEvidence
 import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
@@ -45,7 +46,7 @@
     val paused: () -> Unit,
     val removed: () -> Unit,
     val demand: (InstanceId, DemandReport) -> Unit,
-    val evidence: (PeerMessage.Evidence) -> Unit,
+    val evidence: (List<CrashEvidence>) -> Unit,
 )
 
 /** Keeps the configuration, the members of the fleet and this instance's shares, on one thread. */
@@ -214,7 +215,7 @@
         when (message) {
             is PeerMessage.Share -> shares.received(now, received.from, message.content)
             is PeerMessage.Demand -> listeners.demand(received.from, message.content)
-            is PeerMessage.Evidence -> listeners.evidence(message)
+            is PeerMessage.Evidence -> listeners.evidence(message.items)
             else -> Unit
         }
     }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
@@ -12,6 +12,10 @@
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.crash.CrashEvidence
+import oriolespindle.core.crash.CrashId
+import oriolespindle.core.crash.Fingerprint
+import oriolespindle.core.crash.Suspect
 import oriolespindle.core.fairness.DemandReport
 import oriolespindle.core.fairness.TeamDemand
 import oriolespindle.core.id.EndpointId
@@ -37,6 +41,13 @@
     private val identity = PeerIdentity(InstanceId("router-1"), 3, ZoneId("zone-a"), "10.0.0.1:7400")
     private val stored = StoredObject(ObjectKey(ObjectKind.CONTRACT, "team-a"), Revision(7), """{"weight":2}""")
 
+    private val evidence =
+        CrashEvidence(
+            ids = setOf(CrashId(InstanceId("router-1"), 4)),
+            endpoint = EndpointId("e1"),
+            suspects = listOf(Suspect(Fingerprint("f1"), cleared = false)),
+        )
+
     private val samples =
         listOf(
             PeerMessage.Hello(identity, HandshakeBytes(ByteArray(16) { it.toByte() })),
@@ -45,7 +56,7 @@
             PeerMessage.Objects(listOf(stored, StoredObject.tombstone(stored.key, Revision(8)))),
             PeerMessage.Share(ShareMessage.Counters(listOf(KeyCount(LimitKey(TeamId("a"), LimitKind.REQUESTS), 10)))),
             PeerMessage.Share(ShareMessage.Probe(7)),
-            PeerMessage.Evidence(listOf(EvidenceItem("f1", EndpointId("e1"), "router-1/4", 3, 1_500))),
+            PeerMessage.Evidence(listOf(evidence)),
             PeerMessage.Demand(DemandReport(3, listOf(TeamDemand(TeamId("a"), 12.5)))),
         )
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/LimitProcessTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/LimitProcessTest.kt
@@ -45,7 +45,7 @@
         /** The contract's tolerance over 10 s. */
         const val MOST = 1.02
 
-        /** A fixed split would give one of three instances a third; the time to move units is proved in virtual time. */
+        /** A fixed split would give a third; how fast units move is proved in virtual time. */
         const val LEAST = 0.5
     }
 }
