Add the synchronization of the configuration as one state machine

Cause: when to list, from which revision to watch and who watches were decided in a test's fleet and would have been decided again in the router. Ruled out: a list whenever the platform is reachable again; a watch resumes from the complete revision, which peers also raise during an outage. Change: ConfigurationSync joins ObjectCache, WatchDuty, WatchLiveness and CacheExchange; the fleet test drives it and counts the lists that it sends. The test of the first check's delay is replaced by one of lists without an answer and of a watch whose revision is too old. Conclusion: the router only carries out the actions.

--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ConfigurationFleet.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ConfigurationFleet.kt
@@ -5,8 +5,6 @@
 import kotlinx.serialization.encodeToByteArray
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
-import oriolespindle.core.membership.Member
-import oriolespindle.core.membership.MemberState
 import oriolespindle.core.membership.MembershipEvent
 import oriolespindle.core.membership.MembershipFleet
 import java.util.SplittableRandom
@@ -23,11 +21,11 @@
 ) {
     class Instance(
         val node: MembershipFleet.Node,
-        val cache: ObjectCache,
-        val duty: WatchDuty,
+        val sync: ConfigurationSync,
     ) {
-        val exchange = CacheExchange(cache)
-        var span: WatchSpan? = null
+        val cache: ObjectCache get() = sync.cache
+        var watching = false
+        var lists = 0
     }
 
     private val cbor = Cbor { useDefiniteLengthEncoding = true }
@@ -44,10 +42,8 @@
     init {
         repeat(objects) { put("team-$it") }
         membership.onReport = { receiver, sender, report ->
-            instances[receiver.record.id]?.let {
-                perform(it, it.exchange.heard(membership.now, sender.record.id, report.revision, report.contentHash))
-                describe(it)
-            }
+            val event = SyncEvent.PeerReported(sender.record.id, report.revision, report.contentHash)
+            instances[receiver.record.id]?.let { tell(it, event) }
         }
         start(size)
         membership.list()
@@ -56,8 +52,8 @@
 
     fun start(count: Int): List<Instance> =
         membership.start(count).map { node ->
-            val duty = WatchDuty(node.record.id, node.record.zone, random = random.split())
-            Instance(node, ObjectCache(setOf(kind)), duty).also {
+            val sync = ConfigurationSync(node.record.id, node.record.zone, setOf(kind), random = random.split())
+            Instance(node, sync).also {
                 instances[node.record.id] = it
                 second(it)
             }
@@ -65,106 +61,109 @@
 
     /** Writes an object of about the size of a contract. */
     fun put(name: String): StoredObject {
-        val item =
-            StoredObject(ObjectKey(kind, name), Revision(++revision), """{"r":$revision,"x":"${"x".repeat(900)}"}""")
+        val value = """{"r":${++revision},"x":"${"x".repeat(900)}"}"""
+        val item = StoredObject(ObjectKey(kind, name), Revision(revision), value)
         store[item.key] = item
-        instances.values.filter { it.span != null && !cut(it.node.record.zone) }.forEach { watcher ->
-            membership.at(membership.now + 5.milliseconds) {
-                watcher.span?.let { apply(watcher, ObjectEvent.Watched(it, item)) }
-            }
+        instances.values.filter { it.watching && reachable(it) }.forEach { watcher ->
+            membership.at(membership.now + 5.milliseconds) { tell(watcher, SyncEvent.WatchLine(item)) }
         }
         return item
     }
 
-    fun members(instance: Instance): List<Member> = instance.node.machine.members(membership.now)
+    fun count(role: WatchRole): Int = instances.values.count { it.sync.role == role }
 
-    fun count(role: WatchRole): Int = instances.values.count { it.duty.role(members(it)) == role }
+    private fun reachable(instance: Instance) = !cut(instance.node.record.zone)
 
-    /** Once each second an instance that watches has an idle line, and its role is checked. */
+    /** Once each second the members are known anew, and a watch has an idle line. */
     private fun second(instance: Instance) {
         membership.at(membership.now + 1.seconds) {
-            val watches = instance.duty.role(members(instance)) == WatchRole.WATCH
-            val reachable = !cut(instance.node.record.zone)
-            val span = instance.span
-            when {
-                !watches || !reachable -> instance.span = null
-                span == null -> list(instance)
-                else -> apply(instance, ObjectEvent.WatchIdle(span, Revision(revision)))
-            }
-            if (!watches && reachable && instance.duty.nextCheck(membership.now) <= membership.now) {
-                instance.duty.checked(membership.now)
-                apply(instance, listed())
-            }
+            if (instance.node.record.id !in instances) return@at
+            tell(instance, SyncEvent.Members(instance.node.machine.members(membership.now)))
+            if (instance.watching && reachable(instance)) tell(instance, SyncEvent.WatchIdle(Revision(revision)))
+            tell(instance, SyncEvent.Tick)
             second(instance)
         }
     }
 
-    private fun list(instance: Instance) {
-        instance.span = WatchSpan(setOf(kind), Revision(revision))
-        apply(instance, listed())
+    private fun tell(
+        instance: Instance,
+        event: SyncEvent,
+    ) {
+        instance.sync.handle(membership.now, event).forEach { perform(instance, it) }
+        val described = MembershipEvent.Configured(instance.cache.revision, instance.cache.contentHash)
+        membership.tell(instance.node, described)
     }
 
-    private fun listed() = ObjectEvent.Listed(setOf(kind), Revision(revision), store.values.toList())
-
-    private fun apply(
+    private fun perform(
         instance: Instance,
-        event: ObjectEvent,
+        action: SyncAction,
     ) {
-        val changes = instance.cache.apply(membership.now, event)
-        perform(instance, instance.exchange.changed(changes))
-        describe(instance)
-    }
+        when (action) {
+            is SyncAction.Changed -> {
+                Unit
+            }
+
+            is SyncAction.CloseWatch -> {
+                instance.watching = false
+            }
+
+            is SyncAction.OpenWatch -> {
+                open(instance, action.from)
+            }
+
+            is SyncAction.Exchange -> {
+                exchange(instance, action.action)
+            }
 
-    private fun describe(instance: Instance) {
-        val event = MembershipEvent.Configured(instance.cache.revision, instance.cache.contentHash)
-        membership.tell(instance.node, event)
+            is SyncAction.List -> {
+                instance.lists++
+                val answer = SyncEvent.Listed(Revision(revision), store.values.toList())
+                if (reachable(instance)) membership.at(membership.now + 5.milliseconds) { tell(instance, answer) }
+            }
+        }
     }
 
-    private fun perform(
+    private fun open(
         instance: Instance,
-        actions: List<ExchangeAction>,
+        from: Revision,
     ) {
-        val settings = CacheExchangeSettings()
-        actions.forEach { action ->
-            when (action) {
-                is ExchangeAction.PassOn -> {
-                    instance.node.machine
-                        .targets(settings.ownZoneTargets, settings.otherZoneTargets)
-                        .forEach { objects(instance, it.id, action.items) }
-                }
-
-                is ExchangeAction.SendObjects -> {
-                    objects(instance, action.to, action.items)
-                }
-
-                is ExchangeAction.SendDigest -> {
-                    digest(instance, action)
-                }
-            }
+        instance.watching = reachable(instance)
+        if (!instance.watching) return
+        store.values.filter { it.version > from }.sortedBy { it.version }.forEach { item ->
+            membership.at(membership.now + 5.milliseconds) { tell(instance, SyncEvent.WatchLine(item)) }
         }
     }
 
-    private fun objects(
+    private fun exchange(
         from: Instance,
-        to: InstanceId,
-        items: List<StoredObject>,
-    ) = post(from, to, cbor.encodeToByteArray(items).size) { apply(it, ObjectEvent.FromPeer(items)) }
+        action: ExchangeAction,
+    ) {
+        val settings = CacheExchangeSettings()
+        when (action) {
+            is ExchangeAction.PassOn -> {
+                from.node.machine
+                    .targets(settings.ownZoneTargets, settings.otherZoneTargets)
+                    .forEach { exchange(from, ExchangeAction.SendObjects(it.id, action.items)) }
+            }
 
-    private fun digest(
-        from: Instance,
-        action: ExchangeAction.SendDigest,
-    ) = post(from, action.to, cbor.encodeToByteArray(action.digest).size) {
-        perform(it, it.exchange.digest(membership.now, from.node.record.id, action.digest))
-        describe(it)
+            is ExchangeAction.SendObjects -> {
+                post(from, action.to, cbor.encodeToByteArray(action.items).size, SyncEvent.Objects(action.items))
+            }
+
+            is ExchangeAction.SendDigest -> {
+                val event = SyncEvent.PeerDigest(from.node.record.id, action.digest)
+                post(from, action.to, cbor.encodeToByteArray(action.digest).size, event)
+            }
+        }
     }
 
     private fun post(
         from: Instance,
         to: InstanceId,
         bytes: Int,
-        receive: (Instance) -> Unit,
+        event: SyncEvent,
     ) {
         val target = instances[to] ?: return
-        membership.post(from.node, target.node.record.copy(state = MemberState.ALIVE), bytes) { receive(target) }
+        membership.post(from.node, target.node.record, bytes) { tell(target, event) }
     }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ConfigurationSpreadTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/config/ConfigurationSpreadTest.kt
@@ -3,12 +3,13 @@
 import org.junit.jupiter.api.Test
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.membership.Member
+import oriolespindle.core.membership.MemberRecord
 import oriolespindle.core.membership.MembershipEvent
 import oriolespindle.core.time.Timestamp
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
-import strikt.assertions.isTrue
 import java.util.SplittableRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
@@ -124,17 +125,14 @@
 
     @Test
     fun `guards against calls to the platform that grow with the fleet`() {
-        for ((size, zones) in listOf(9 to 3, 330 to 5)) {
+        for ((size, zones, counted) in listOf(Triple(9, 3, 1.hours), Triple(330, 5, 60.seconds))) {
             val fleet = ConfigurationFleet(size, zones, objects = 1, seed = 14)
             val watching = fleet.count(WatchRole.WATCH)
             val listening = fleet.count(WatchRole.LISTEN)
-            val lists = listening * (1.hours / WatchDutySettings().checkInterval)
-            println(
-                "platform calls, $size instances: $watching waiting watches, %.0f lists/h"
-                    .format(
-                        lists,
-                    ),
-            )
+            val before = fleet.instances.values.sumOf { it.lists }
+            fleet.membership.run(counted)
+            val lists = (fleet.instances.values.sumOf { it.lists } - before) * (1.hours / counted)
+            println("platform calls, $size instances: $watching waiting watches, %.0f lists/h".format(lists))
 
             expectThat(watching).isEqualTo(zones * WatchDutySettings().watchersPerZone)
             expectThat(listening).isEqualTo(size - watching)
@@ -144,9 +142,9 @@
     @Test
     fun `guards against moving more than one watch when an instance fails`() {
         val fleet = ConfigurationFleet(30, zones = 3, objects = 1, seed = 15)
-        val watcher = fleet.instances.values.first { it.duty.role(fleet.members(it)) == WatchRole.WATCH }
+        val watcher = fleet.instances.values.first { it.sync.role == WatchRole.WATCH }
 
-        fun watchers() = fleet.instances.filterValues { it.duty.role(fleet.members(it)) == WatchRole.WATCH }.keys
+        fun watchers() = fleet.instances.filterValues { it.sync.role == WatchRole.WATCH }.keys
         val before = watchers()
 
         fleet.membership.kill(watcher.node)
@@ -158,12 +156,18 @@
     }
 
     @Test
-    fun `guards against lists that stay in step after an outage`() {
-        val duty = WatchDuty(InstanceId("a"), ZoneId("z"), random = SplittableRandom(1))
+    fun `guards against a watch from a revision that the platform no longer has and against lists without a pause`() {
+        val kinds = setOf(ObjectKind.CONTRACT)
+        val sync = ConfigurationSync(InstanceId("a"), ZoneId("z"), kinds, random = SplittableRandom(1))
         val start = Timestamp.ZERO
-        val first = duty.nextCheck(start)
-        duty.checked(first)
-
-        expectThat(duty.nextCheck(first) > first).isTrue()
+        val member = Member(MemberRecord(InstanceId("a"), ZoneId("z"), "10.0.0.1:1"), start)
+        val list = SyncAction.List(kinds)
+
+        expectThat(sync.handle(start, SyncEvent.Members(listOf(member)))).isEqualTo(listOf(list))
+        expectThat(sync.handle(start + 1.seconds, SyncEvent.Tick)).isEqualTo(emptyList())
+        expectThat(sync.handle(start + 2.seconds, SyncEvent.Tick)).isEqualTo(listOf(list))
+        expectThat(sync.handle(start + 3.seconds, SyncEvent.Listed(Revision(7), emptyList())))
+            .isEqualTo(listOf(SyncAction.OpenWatch(kinds, Revision(7))))
+        expectThat(sync.handle(start + 4.seconds, SyncEvent.WatchEnded(listAgain = true))).isEqualTo(listOf(list))
     }
 }
