--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ConfigurationLink.kt
@@ -0,0 +1,108 @@
+package oriolespindle.router.state
+
+import oriolespindle.core.config.ConfigurationSync
+import oriolespindle.core.config.ExchangeAction
+import oriolespindle.core.config.ObjectChange
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.Revision
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.config.SyncAction
+import oriolespindle.core.config.SyncEvent
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.platform.PlatformList
+import oriolespindle.router.platform.PlatformResult
+import oriolespindle.router.platform.Watch
+import oriolespindle.router.platform.WatchLine
+import oriolespindle.router.platform.key
+import oriolespindle.router.platform.toStored
+
+/** Carries out the actions of the configuration's synchronization with the platform. */
+internal class ConfigurationLink(
+    private val sync: ConfigurationSync,
+    private val platform: PlatformClient,
+    private val post: (StateMessage) -> Unit,
+    private val onExchange: (Timestamp, ExchangeAction) -> Unit,
+    private val onChange: (List<ObjectChange>) -> Unit,
+) {
+    private var watch: Watch? = null
+    private var watchNumber = 0
+
+    /** Applies [event] to the synchronization and does what it asks for. */
+    fun handle(
+        now: Timestamp,
+        event: SyncEvent,
+    ) {
+        sync.handle(now, event).forEach { perform(now, it) }
+    }
+
+    fun tick(now: Timestamp) {
+        if (now >= sync.nextTimer(now)) handle(now, SyncEvent.Tick)
+    }
+
+    /** Takes the answer to a list; without an answer the synchronization lists again by itself. */
+    fun listed(
+        now: Timestamp,
+        result: PlatformResult<PlatformList>,
+    ) {
+        if (result !is PlatformResult.Ok) return
+        val items = result.value.items.map { it.toStored() }
+        handle(now, SyncEvent.Listed(Revision(result.value.revision), items))
+    }
+
+    /** Takes a line of the watch with [number], or its end when [line] is null. */
+    fun watched(
+        now: Timestamp,
+        number: Int,
+        line: WatchLine?,
+    ) {
+        if (number != watchNumber) return
+        if (line == null) {
+            watch = null
+            handle(now, SyncEvent.WatchEnded())
+        } else {
+            event(line)?.let { handle(now, it) }
+        }
+    }
+
+    private fun perform(
+        now: Timestamp,
+        action: SyncAction,
+    ) {
+        when (action) {
+            is SyncAction.List -> platform.list(codes(action.kinds)) { post(StateMessage.Listed(it)) }
+            is SyncAction.OpenWatch -> open(action)
+            is SyncAction.CloseWatch -> close()
+            is SyncAction.Exchange -> onExchange(now, action.action)
+            is SyncAction.Changed -> onChange(action.changes)
+        }
+    }
+
+    private fun open(action: SyncAction.OpenWatch) {
+        close()
+        val number = watchNumber
+        EventLog.info("watch of the platform opened", "revision" to action.from)
+        watch = platform.watch(codes(action.kinds), action.from.value) { post(StateMessage.Watched(number, it)) }
+    }
+
+    /** Raises the number, so that lines of the closed watch that are still on their way are dropped. */
+    private fun close() {
+        watchNumber++
+        watch?.close()
+        watch = null
+    }
+
+    private fun codes(kinds: Set<ObjectKind>): List<String> = kinds.map { it.code }.sorted()
+
+    private fun event(line: WatchLine): SyncEvent? {
+        val revision = Revision(line.revision)
+        val item = line.`object`
+        return when (line.type) {
+            "put" -> item?.let { SyncEvent.WatchLine(it.toStored()) }
+            "delete" -> item?.let { SyncEvent.WatchLine(StoredObject.tombstone(it.key(), revision)) }
+            "idle" -> SyncEvent.WatchIdle(revision)
+            else -> null
+        }
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/FleetView.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/FleetView.kt
@@ -1,11 +1,8 @@
 package oriolespindle.router.state
 
-import oriolespindle.core.config.CacheExchange
 import oriolespindle.core.config.CacheExchangeSettings
 import oriolespindle.core.config.ExchangeAction
 import oriolespindle.core.config.ObjectCache
-import oriolespindle.core.config.ObjectChange
-import oriolespindle.core.config.ObjectEvent
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.Rollout
 import oriolespindle.core.config.RolloutStatus
@@ -39,19 +36,23 @@
     fun forget(peer: InstanceId)
 }
 
-/** Keeps the members of the fleet and passes configuration between them. */
+/** What the fleet view tells the state component. */
+internal class FleetListeners(
+    val members: () -> Unit,
+    val reported: (Timestamp, InstanceId, Revision, contentHash: Long) -> Unit,
+    val paused: () -> Unit,
+)
+
+/** Keeps the members of the fleet, sends them what the configuration's exchange asks for, and follows rollouts. */
 internal class FleetView(
     self: MemberRecord,
     random: RandomGenerator,
     private val cache: ObjectCache,
     private val peers: PeerSender,
-    private val onChange: (List<ObjectChange>) -> Unit,
-    private val onMembers: () -> Unit,
-    private val onPaused: () -> Unit,
+    private val listeners: FleetListeners,
 ) {
     private val membership = Membership(self, random = random)
     private val exchangeSettings = CacheExchangeSettings()
-    private val exchange = CacheExchange(cache, exchangeSettings)
     private val rollout = Rollout()
 
     fun members(now: Timestamp): List<Member> = membership.members(now)
@@ -81,31 +82,20 @@
 
     fun leave(now: Timestamp) = perform(now, membership.handle(now, MembershipEvent.Leave))
 
-    /** Handles the messages about members and configuration and returns false for every other one. */
+    /** Handles heartbeats and their answers, and returns false for every other message. */
     fun received(
         now: Timestamp,
-        from: InstanceId,
         message: PeerMessage,
     ): Boolean {
         when (message) {
             is PeerMessage.Ping -> perform(now, membership.handle(now, MembershipEvent.PingReceived(message.content)))
             is PeerMessage.Ack -> perform(now, membership.handle(now, MembershipEvent.AckReceived(message.content)))
-            is PeerMessage.Digest -> exchange(now, exchange.digest(now, from, message.content))
-            is PeerMessage.Objects -> onChange(cache.apply(now, ObjectEvent.FromPeer(message.items)))
             else -> return false
         }
         return true
     }
 
-    /** Tells peers about changes and about the configuration that is now in force here. */
-    fun changed(
-        now: Timestamp,
-        changes: List<ObjectChange>,
-    ) {
-        exchange(now, exchange.changed(changes))
-    }
-
-    /** Notes the revision that is in force here, which later heartbeats report. */
+    /** Notes the configuration that is in force here, which later heartbeats report. */
     fun configured(now: Timestamp) {
         rollout.reported(now, membership.self.id, cache.revision)
         perform(now, membership.handle(now, MembershipEvent.Configured(cache.revision, cache.contentHash)))
@@ -120,6 +110,25 @@
         return rollout.status(now, revision)
     }
 
+    /** Sends configuration to peers. */
+    fun exchange(action: ExchangeAction) {
+        when (action) {
+            is ExchangeAction.PassOn -> {
+                membership
+                    .targets(exchangeSettings.ownZoneTargets, exchangeSettings.otherZoneTargets)
+                    .forEach { passOn(it, action) }
+            }
+
+            is ExchangeAction.SendObjects -> {
+                PeerMessage.Objects.split(action.items).forEach { peers.send(action.to, it) }
+            }
+
+            is ExchangeAction.SendDigest -> {
+                peers.send(action.to, PeerMessage.Digest(action.digest))
+            }
+        }
+    }
+
     private fun perform(
         now: Timestamp,
         actions: List<MembershipAction>,
@@ -144,7 +153,7 @@
         EventLog.info("member changed", "instance" to after.id, "zone" to after.zone, "state" to after.state)
         if (after.state == MemberState.GONE) peers.forget(after.id)
         rollout.expect(members(now).mapTo(HashSet()) { it.id })
-        onMembers()
+        listeners.members()
     }
 
     private fun reported(
@@ -152,45 +161,20 @@
         action: MembershipAction.Reported,
     ) {
         rollout.reported(now, action.instance, action.revision)
-        exchange(now, exchange.heard(now, action.instance, action.revision, action.contentHash))
+        listeners.reported(now, action.instance, action.revision, action.contentHash)
     }
 
     private fun paused(action: MembershipAction.Paused) {
         EventLog.warn("this process was paused", "duration" to action.duration)
-        onPaused()
+        listeners.paused()
     }
 
-    private fun exchange(
-        now: Timestamp,
-        actions: List<ExchangeAction>,
-    ) {
-        for (action in actions) {
-            when (action) {
-                is ExchangeAction.PassOn -> {
-                    membership
-                        .targets(exchangeSettings.ownZoneTargets, exchangeSettings.otherZoneTargets)
-                        .forEach { peer -> sendObjects(peer.id, peer.address, action) }
-                }
-
-                is ExchangeAction.SendObjects -> {
-                    PeerMessage.Objects.split(action.items).forEach { peers.send(action.to, it) }
-                }
-
-                is ExchangeAction.SendDigest -> {
-                    peers.send(action.to, PeerMessage.Digest(action.digest))
-                }
-            }
-        }
-        if (actions.isNotEmpty()) configured(now)
-    }
-
-    private fun sendObjects(
-        peer: InstanceId,
-        address: String,
+    private fun passOn(
+        peer: MemberRecord,
         action: ExchangeAction.PassOn,
     ) {
-        peers.connect(peer, address)
-        PeerMessage.Objects.split(action.items).forEach { peers.send(peer, it) }
+        peers.connect(peer.id, peer.address)
+        PeerMessage.Objects.split(action.items).forEach { peers.send(peer.id, it) }
     }
 
     private fun send(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.state
 
 import kotlinx.serialization.json.JsonObject
+import oriolespindle.core.config.ConfigurationSync
 import oriolespindle.core.config.ObjectCache
 import oriolespindle.core.config.ObjectChange
 import oriolespindle.core.config.ObjectKey
@@ -8,6 +9,7 @@
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.RolloutStatus
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.config.SyncEvent
 import oriolespindle.core.config.WriteResult
 import oriolespindle.core.crash.CrashEvidence
 import oriolespindle.core.fairness.DemandReport
@@ -27,6 +29,7 @@
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.platform.PlatformInstance
 import oriolespindle.router.platform.PlatformInstanceList
+import oriolespindle.router.platform.PlatformList
 import oriolespindle.router.platform.PlatformResult
 import oriolespindle.router.runtime.Component
 import oriolespindle.router.runtime.TimerService
@@ -60,10 +63,12 @@
     private val listeners: StateListeners,
 ) {
     private val component = Component("state", RING_CAPACITY, ::handle)
-    private val cache = ObjectCache()
+    private val sync = ConfigurationSync(InstanceId(self.id), ZoneId(self.zone), random = random)
+    private val cache = sync.cache
     private val writer = ObjectWriter(platform, timers) { block -> post(StateMessage.Run(block)) }
-    private val sync = ConfigurationSync(platform, cache, random, ZoneId(self.zone), self.id, ::post, ::publish)
-    private val fleet = FleetView(record(), random, cache, peers, ::publish, ::membersChanged, listeners.paused)
+    private val fleet = FleetView(record(), random, cache, peers, fleetListeners())
+    private val configuration =
+        ConfigurationLink(sync, platform, ::post, { _, action -> fleet.exchange(action) }, ::publish)
     private val shares =
         ShareSync(
             self = InstanceId(self.id),
@@ -77,6 +82,7 @@
             onRemoved = listeners.removed,
         )
     private val unpublished = ArrayDeque<List<StoredObject>>()
+    private var contentHash = 0L
     private var listing = false
     private var listDue = Timestamp(Long.MIN_VALUE)
     private var registered = false
@@ -103,10 +109,16 @@
 
     fun start() {
         component.start()
-        post(StateMessage.Run(shares::start))
+        post(StateMessage.Run(::begin))
         timers.every(TICK) { component.offer(StateMessage.Tick) }
     }
 
+    /** The first members are this instance alone, so that it watches until it knows others. */
+    private fun begin() {
+        membersChanged()
+        shares.start()
+    }
+
     /** Runs [block] with the cached objects on this component's thread; it must not keep the cache. */
     fun read(block: (ObjectCache) -> Unit) {
         post(StateMessage.Run { block(cache) })
@@ -169,8 +181,8 @@
     private fun handle(message: StateMessage) {
         val now = monotonicNow()
         when (message) {
-            is StateMessage.Listed -> sync.listed(now, message.result)
-            is StateMessage.Watched -> sync.watched(now, message.watch, message.line)
+            is StateMessage.Listed -> listed(now, message.result)
+            is StateMessage.Watched -> configuration.watched(now, message.watch, message.line)
             is StateMessage.Instances -> instancesListed(now, message.result)
             is StateMessage.AllotmentRead -> shares.read(now, message.result, message.requestedAt)
             is StateMessage.Peer -> peerMessage(now, message)
@@ -181,15 +193,18 @@
             is StateMessage.Tick -> tick(now)
         }
         hasAllotment = shares.hasAllotment
-        if (revision != cache.revision.value) {
+        if (revision != cache.revision.value || contentHash != cache.contentHash) {
             revision = cache.revision.value
+            contentHash = cache.contentHash
             fleet.configured(now)
         }
+        // Peers can confirm a complete configuration without a list, and it may have no objects.
+        if (revision > 0 && !published) publish(emptyList())
     }
 
     private fun tick(now: Timestamp) {
         flush()
-        sync.tick(now, fleet.members(now))
+        configuration.tick(now)
         fleet.tick(now)
         if (now >= shareTickDue) {
             shareTickDue = now + SHARE_TICK
@@ -211,8 +226,10 @@
         received: StateMessage.Peer,
     ) {
         val message = received.message
-        if (fleet.received(now, received.from, message)) return
+        if (fleet.received(now, message)) return
         when (message) {
+            is PeerMessage.Digest -> configuration.handle(now, SyncEvent.PeerDigest(received.from, message.content))
+            is PeerMessage.Objects -> configuration.handle(now, SyncEvent.Objects(message.items))
             is PeerMessage.Share -> shares.received(now, received.from, message.content)
             is PeerMessage.Demand -> listeners.demand(received.from, message.content)
             is PeerMessage.Evidence -> listeners.evidence(message.items)
@@ -234,19 +251,35 @@
     private fun membersChanged() {
         val now = monotonicNow()
         val members = fleet.members(now)
+        configuration.handle(now, SyncEvent.Members(members))
         shares.members(now, members)
         listeners.members(members.filter { it.record.state < MemberState.DEAD }.mapTo(HashSet()) { it.id })
     }
 
+    private fun listed(
+        now: Timestamp,
+        result: PlatformResult<PlatformList>,
+    ) {
+        configuration.listed(now, result)
+        if (result is PlatformResult.Ok && !published) publish(emptyList())
+    }
+
+    private fun fleetListeners(): FleetListeners =
+        FleetListeners(
+            members = ::membersChanged,
+            reported = { now, peer, peerRevision, peerHash ->
+                configuration.handle(now, SyncEvent.PeerReported(peer, peerRevision, peerHash))
+            },
+            paused = listeners.paused,
+        )
+
     private fun publish(changes: List<ObjectChange>) {
-        if (changes.isEmpty() && published) return
         published = true
         val now = monotonicNow()
         if (changes.any { it.key.kind == ObjectKind.OPERATOR }) listeners.operators(cache.live(ObjectKind.OPERATOR))
         if (changes.any { it.key.kind == ObjectKind.ALLOTMENT }) shares.changed(now)
         unpublished.addLast(changes.map { it.after })
         flush()
-        fleet.changed(now, changes)
     }
 
     /** Hands changes on in order; what a full ring buffer does not take waits for the next tick. */
