Format the router with ktlint

Cause: the format check of mvn verify stops at oriolespindle-router, so that no later module is built. Change: the output of ktlint:format; no other edit.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -106,7 +106,8 @@
             metrics = metrics,
             jitter = random::nextDouble,
             isLive = { it in liveInstances },
-            listeners = RequestListeners(
+            listeners =
+                RequestListeners(
                     contracts = { state.contracts(it) },
                     used = { state.used(it) },
                     demand = { state.broadcast(PeerMessage.Demand(it)) },
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
@@ -116,15 +116,26 @@
         serializer: KSerializer<T>,
     ): PlatformResult<T> =
         when (status) {
-            in SUCCESS -> decode(serializer, body)?.let { PlatformResult.Ok(it) } ?: PlatformResult.Unavailable(true)
-            NOT_FOUND -> PlatformResult.NotFound
+            in SUCCESS -> {
+                decode(serializer, body)?.let { PlatformResult.Ok(it) } ?: PlatformResult.Unavailable(true)
+            }
+
+            NOT_FOUND -> {
+                PlatformResult.NotFound
+            }
+
             // The platform describes an object that does not exist by version 0.
             PRECONDITION_FAILED -> {
                 PlatformResult.Conflict(decode(PlatformObject.serializer(), body)?.takeIf { it.version > 0 })
             }
 
-            NOT_SENT -> PlatformResult.Unavailable(maybeApplied = false)
-            else -> PlatformResult.Unavailable(maybeApplied = request.method != "GET")
+            NOT_SENT -> {
+                PlatformResult.Unavailable(maybeApplied = false)
+            }
+
+            else -> {
+                PlatformResult.Unavailable(maybeApplied = request.method != "GET")
+            }
         }
 
     private fun send(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -5,8 +5,8 @@
 import oriolespindle.core.chain.LoadReport
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.StoredObject
-import oriolespindle.core.id.EndpointId
 import oriolespindle.core.fairness.DemandReport
+import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ModelId
 import oriolespindle.core.id.TeamId
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerCodecTest.kt
@@ -8,12 +8,12 @@
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
 import org.junit.jupiter.api.Test
-import oriolespindle.core.fairness.DemandReport
-import oriolespindle.core.fairness.TeamDemand
 import oriolespindle.core.config.ObjectKey
 import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.config.Revision
 import oriolespindle.core.config.StoredObject
+import oriolespindle.core.fairness.DemandReport
+import oriolespindle.core.fairness.TeamDemand
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.TeamId
