Add oriolespindle-ctl, the operators' command line

Cause: operators had only the HTTP paths of the administration API to change contracts and drain endpoints. Conclusion: use and refusals of one team are not in the status, and limits says so.

--- a/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/Main.kt
+++ b/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/Main.kt
@@ -1,5 +1,8 @@
 package oriolespindle.ctl
 
-public fun main() {
-    println("oriolespindle")
+import com.github.ajalt.clikt.core.main
+
+/** Runs the operators' command line; the process ends with the number of an [ExitCode]. */
+public fun main(args: Array<String>) {
+    RootCommand.program().main(args)
 }
--- /dev/null
+++ b/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/StatusCommands.kt
@@ -0,0 +1,114 @@
+package oriolespindle.ctl
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+
+private fun JsonElement?.field(name: String): JsonElement? = (this as? JsonObject)?.get(name)
+
+private fun JsonElement?.elements(): List<JsonElement> = (this as? JsonArray).orEmpty()
+
+/** Stored objects that the instance cannot use; the last good version of each stays in force. */
+private fun unusableObjects(status: JsonObject): List<JsonElement> =
+    status["requests"].field("unusableObjects").elements()
+
+/** The newest revision that the instance has in force, or null when the status has none. */
+internal fun revisionInForce(status: JsonObject): Long? = status["state"].field("revision").cell().toLongOrNull()
+
+internal class StatusCommand :
+    CtlCommand("status", "Prints the state of the instance at the address and what it knows of others.", "status") {
+    override fun run() {
+        val status = client.status().orFail()
+        print(status) { sections(status).joinToString("\n\n") }
+    }
+
+    private fun sections(status: JsonObject): List<Any> =
+        listOf(
+            Table(
+                listOf("INSTANCE", "ZONE", "REVISION", "STREAMS"),
+                listOf(
+                    listOf(
+                        status["instance"].cell(),
+                        status["zone"].cell(),
+                        status["state"].field("revision").cell(),
+                        status["requests"].field("streams").cell(),
+                    ),
+                ),
+            ),
+            table(status["state"].field("members").elements(), listOf("instance", "zone", "state")),
+            table(
+                status["requests"].field("models").elements(),
+                listOf("model", "chains", "boundTokensPerSecond"),
+            ),
+            table(unusableObjects(status), listOf("object", "version", "message")),
+        )
+
+    private fun table(
+        elements: List<JsonElement>,
+        fields: List<String>,
+    ): Table = Table(fields.map { it.uppercase() }, elements.map { element -> fields.map { element.field(it).cell() } })
+}
+
+internal class LimitsCommand :
+    CtlCommand("limits", "Prints the limits of a team and whether they are in force.", "limits team-a") {
+    private val team by argument()
+
+    override fun run() {
+        val contract = client.read(CONTRACT_KIND, team).orFail()
+        val status = client.status().orFail()
+        val faults = unusableObjects(status).filter { it.field("object").cell() == "$CONTRACT_KIND/$team" }
+        print(json(contract, status, faults)) { text(contract, status, faults) }
+    }
+
+    private fun json(
+        contract: StoredItem,
+        status: JsonObject,
+        faults: List<JsonElement>,
+    ): JsonObject =
+        buildJsonObject {
+            put("team", team)
+            put("version", contract.version)
+            put("instance", status["instance"].cell())
+            put("inForce", faults.isEmpty())
+            put("limits", limits(contract))
+            put("faults", JsonArray(faults))
+            putJsonArray("notAvailable") { NOT_AVAILABLE.forEach { add(it) } }
+        }
+
+    private fun text(
+        contract: StoredItem,
+        status: JsonObject,
+        faults: List<JsonElement>,
+    ): String {
+        val instance = status["instance"].cell()
+        val force =
+            if (faults.isEmpty()) {
+                "version ${contract.version} is usable at instance $instance"
+            } else {
+                "version ${contract.version} is not usable at instance $instance, the last good one is in force: " +
+                    faults.joinToString("; ") { it.field("message").cell() }
+            }
+        val table =
+            Table(
+                listOf("LIMIT", "VALUE"),
+                limits(contract).map { (name, value) ->
+                    listOf(name, value.cell())
+                },
+            )
+        val missing = NOT_AVAILABLE.joinToString("\n") { "$it: not available from the administration API" }
+        return "$force\n\n$table\n\n$missing"
+    }
+
+    private fun limits(contract: StoredItem): JsonObject =
+        JsonObject(contract.value.filterKeys { it != "team" && it != "keyDigests" })
+
+    private companion object {
+        /** The status counts no requests by team, and the refusal counters have no team label. */
+        val NOT_AVAILABLE = listOf("use of the team", "refusals of the team")
+    }
+}
