Carry out operators' orders under the lease; isolate suspects without refusing them

Cause: the order machine and the lease were not used by the router; a suspect without an isolated chain was refused. Ruled out: reporting the suspect as not run, since any chain may run it when it was running at one crash only. Conclusion: a holder that is frozen past its lease is proved in virtual time only.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -9,6 +9,8 @@
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.lifecycle.ShutdownAction
 import oriolespindle.core.lifecycle.ShutdownSettings
+import oriolespindle.core.membership.Member
+import oriolespindle.core.membership.MemberState
 import oriolespindle.router.administration.AdministrationApi
 import oriolespindle.router.administration.ObjectApi
 import oriolespindle.router.administration.OperatorValue
@@ -21,6 +23,7 @@
 import oriolespindle.router.lifecycle.ShutdownCoordinator
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.metrics.Metrics
+import oriolespindle.router.order.OrderComponent
 import oriolespindle.router.peer.PeerMessage
 import oriolespindle.router.peer.PeerNetwork
 import oriolespindle.router.platform.PlatformClient
@@ -50,6 +53,7 @@
     private val planning = Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }
     private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
     private val shutdown = ShutdownCoordinator(shutdownSettings(), timers, ::perform)
+    private val orders = OrderComponent(settings.instance, http, platform, timers)
     private val requests: RequestComponent = requestComponent()
     private val peers =
         PeerNetwork(settings, { from, message -> state.received(from, message) }, { state.connected(it) })
@@ -68,6 +72,7 @@
 
     fun start() {
         requests.start()
+        orders.start()
         peers.start()
         state.start()
         val callerAddress = callers.bind(settings.callers)
@@ -95,7 +100,7 @@
     private fun status(answer: (JsonObject) -> Unit) {
         state.report { configuration ->
             requests.status { routing ->
-                answer(StatusReport.whole(settings, configuration, routing))
+                orders.status { answer(StatusReport.whole(settings, configuration, routing, it)) }
             }
         }
     }
@@ -110,6 +115,7 @@
                 RequestListeners(
                     contracts = { state.contracts(it) },
                     used = { state.used(it) },
+                    availability = orders::availability,
                     evidence = { state.broadcast(PeerMessage.Evidence(it)) },
                     demand = { state.broadcast(PeerMessage.Demand(it)) },
                 ),
@@ -120,17 +126,34 @@
 
     private fun stateListeners(): StateListeners =
         StateListeners(
-            changed = requests::changed,
+            changed = ::configurationChanged,
             listed = requests::listed,
             operators = ::operatorsChanged,
-            members = { liveInstances = it },
+            members = ::membersChanged,
             shares = requests::shares,
-            paused = requests::wokeFromPause,
+            paused = ::wokeFromPause,
             removed = ::removed,
             demand = requests::demand,
             evidence = requests::evidence,
         )
 
+    /** Offers changes to the requests first, because they can refuse them for now and get them again. */
+    private fun configurationChanged(items: List<StoredObject>): Boolean {
+        if (!requests.changed(items)) return false
+        orders.changed(items)
+        return true
+    }
+
+    private fun membersChanged(members: List<Member>) {
+        liveInstances = members.filter { it.record.state < MemberState.DEAD }.mapTo(HashSet()) { it.id }
+        orders.members(members)
+    }
+
+    private fun wokeFromPause() {
+        requests.wokeFromPause()
+        orders.wokeFromPause()
+    }
+
     /** The platform has terminated this instance and its units belong to others, so it can only end. */
     private fun removed() {
         EventLog.warn("this instance was removed from the allotment", "instance" to settings.instance)
@@ -146,6 +169,7 @@
             is ShutdownAction.ReportUnready -> {
                 callers.closing = true
                 state.leave()
+                orders.stop()
                 platform.register(self().copy(state = "leaving")) { }
             }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/StatusReport.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/StatusReport.kt
@@ -12,11 +12,13 @@
         settings: Settings,
         configuration: JsonElement,
         requests: JsonElement,
+        orders: JsonElement,
     ): JsonObject =
         buildJsonObject {
             put("instance", settings.instance.value)
             put("zone", settings.zone.value)
             put("state", configuration)
             put("requests", requests)
+            put("orders", orders)
         }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/directory/Directory.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/directory/Directory.kt
@@ -40,6 +40,7 @@
     private val models = HashMap<ModelId, ModelValue>()
     private val services = HashMap<ServiceId, ServiceValue>()
     private val engines = HashMap<EndpointId, EndpointSpec>()
+    private val ignoringFence = HashSet<EndpointId>()
     private val servers = HashMap<EndpointId, ServiceEndpoint>()
     private val faults = LinkedHashMap<ObjectKey, ObjectFault>()
 
@@ -49,6 +50,9 @@
 
     fun engines(): Collection<EndpointSpec> = engines.values
 
+    /** Whether the engine refuses orders with an old fencing token. */
+    fun checksFence(id: EndpointId): Boolean = id !in ignoringFence
+
     fun engine(id: EndpointId): EndpointSpec? = engines[id]
 
     fun servers(): Collection<ServiceEndpoint> = servers.values
@@ -122,6 +126,7 @@
         val spec = engineSpec(id, value) ?: return fault(item, ENGINE_RULE)
         servers.remove(id)
         engines[id] = spec
+        if (value.checksFence) ignoringFence.remove(id) else ignoringFence.add(id)
         return setOfNotNull(before, spec.model)
     }
 
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/order/EngineOrders.kt
@@ -0,0 +1,147 @@
+package oriolespindle.router.order
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import oriolespindle.core.id.LayerRange
+import oriolespindle.core.id.ModelId
+import oriolespindle.core.order.EndpointState
+import oriolespindle.core.order.OrderAction
+import oriolespindle.core.order.OrderAnswer
+import oriolespindle.core.order.OrderCodec
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.HttpClient
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The answer of `GET /v1/state`. */
+@Serializable
+private data class StateAnswer(
+    val model: String? = null,
+    val first: Int = 0,
+    val end: Int = 0,
+    val adapter: String? = null,
+    val version: String? = null,
+    val role: String? = null,
+    val loading: Boolean = false,
+) {
+    fun toState(): EndpointState =
+        EndpointState(
+            model = model?.let(::ModelId),
+            layers = if (model != null && end > first) LayerRange(first, end) else null,
+            version = version,
+            adapter = adapter,
+            role = role,
+            loading = loading,
+        )
+}
+
+/** The answer of an engine that refuses an order. */
+@Serializable
+private data class OrderRefusal(
+    val reason: String,
+    val fence: Long? = null,
+)
+
+/** Sends orders to engines and reads their state; results arrive on an event loop thread. */
+internal class EngineOrders(
+    private val http: HttpClient,
+) {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Sends an order on a new connection; after the action's last moment nothing is sent. */
+    fun send(
+        address: Address,
+        action: OrderAction.Send,
+        result: (OrderAnswer) -> Unit,
+    ) {
+        val request =
+            ClientRequest(
+                address = address,
+                method = "POST",
+                uri = "/v1/orders",
+                body = body(action).toByteArray(),
+                freshConnection = true,
+                notAfter = action.notAfter,
+            )
+        call(request) { status, body -> result(answer(status, body)) }
+    }
+
+    /** Reads the state of the engine at [address]; null when it cannot be read. */
+    fun state(
+        address: Address,
+        result: (EndpointState?) -> Unit,
+    ) {
+        call(ClientRequest(address, "GET", "/v1/state")) { status, body ->
+            result(if (status == STATUS_OK) decode<StateAnswer>(body)?.toState() else null)
+        }
+    }
+
+    private fun body(action: OrderAction.Send): String {
+        val command = json.parseToJsonElement(OrderCodec.encode(action.order.endpoint, action.order.command))
+        val fields =
+            (command as JsonObject) +
+                mapOf(
+                    "order" to JsonPrimitive(action.order.name),
+                    "fence" to JsonPrimitive(action.fence),
+                    "expiresInMs" to JsonPrimitive(action.expiresIn.inWholeMilliseconds),
+                )
+        return JsonObject(fields).toString()
+    }
+
+    private fun answer(
+        status: Int,
+        body: String,
+    ): OrderAnswer {
+        if (status == STATUS_OK) return OrderAnswer.Accepted
+        if (status == NOT_SENT) return OrderAnswer.NotSent
+        val refusal = if (status == STATUS_CONFLICT) decode<OrderRefusal>(body) else null
+        val fence = refusal?.fence
+        return if (refusal?.reason == "stale_fence" &&
+            fence != null
+        ) {
+            OrderAnswer.StaleFence(fence)
+        } else {
+            OrderAnswer.Lost
+        }
+    }
+
+    private inline fun <reified T> decode(text: String): T? =
+        try {
+            json.decodeFromString<T>(text)
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private fun call(
+        request: ClientRequest,
+        result: (status: Int, body: String) -> Unit,
+    ) {
+        val body = ByteArrayOutputStream()
+        var status = NO_ANSWER
+        http.send(request, TIMEOUT) { event ->
+            when (event) {
+                is ClientEvent.Head -> status = event.status
+                is ClientEvent.Data -> body.writeBytes(event.bytes)
+                is ClientEvent.End -> result(status, body.toString(Charsets.UTF_8))
+                is ClientEvent.Failed -> result(if (event.sent) NO_ANSWER else NOT_SENT, "")
+            }
+            true
+        }
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_CONFLICT = 409
+        const val NO_ANSWER = 0
+        const val NOT_SENT = -1
+
+        /** An engine answers before it loads; its state tells when a load is complete. */
+        val TIMEOUT: Duration = 2.seconds
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/order/OrderComponent.kt
@@ -0,0 +1,214 @@
+package oriolespindle.router.order
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import oriolespindle.core.chain.EndpointAvailability
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.StoredObject
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.lease.LeaseAction
+import oriolespindle.core.lease.LeaseEvent
+import oriolespindle.core.lease.LeaseHolder
+import oriolespindle.core.lease.LeaseSettings
+import oriolespindle.core.membership.Member
+import oriolespindle.core.membership.Rendezvous
+import oriolespindle.core.order.OperatorOrder
+import oriolespindle.core.order.OrderAction
+import oriolespindle.core.order.OrderAnswer
+import oriolespindle.core.order.OrderCodec
+import oriolespindle.core.order.OrderEvent
+import oriolespindle.core.order.OrderLease
+import oriolespindle.core.order.OrderMachine
+import oriolespindle.core.order.OrderProgress
+import oriolespindle.core.order.OrderedEndpoint
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.directory.Directory
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.HttpClient
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.platform.PlatformClient
+import oriolespindle.router.runtime.Component
+import oriolespindle.router.runtime.TimerService
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Carries out operators' orders while this instance holds the lease for them, on one thread. */
+internal class OrderComponent(
+    private val self: InstanceId,
+    http: HttpClient,
+    platform: PlatformClient,
+    private val timers: TimerService,
+) {
+    private val component = Component<() -> Unit>("orders", RING_CAPACITY) { it() }
+    private val engines = EngineOrders(http)
+    private val lease = LeaseHolder(LeaseSettings(self))
+    private val leaseStore = LeaseStore(platform, ::post)
+    private val machine = OrderMachine()
+    private val directory = Directory()
+    private val rendezvous = Rendezvous("lease")
+    private val orders = HashMap<String, OperatorOrder>()
+    private val progress = LinkedHashMap<String, OrderProgress>()
+    private var fence: Long? = null
+
+    fun start() {
+        component.start()
+        timers.every(TICK) { component.offer(::tick) }
+    }
+
+    /** Takes changed endpoints and orders. */
+    fun changed(items: List<StoredObject>) = post { apply(items) }
+
+    /** Takes the members of the fleet, of which the first few by rendezvous hashing are candidates for the lease. */
+    fun members(members: List<Member>) =
+        post {
+            val rank = rendezvous.rankOrNull(self, members, CANDIDATES)
+            leaseEvent(LeaseEvent.Candidate(rank))
+        }
+
+    /** Takes which endpoints serve, since an order must not leave a layer without one. */
+    fun availability(states: Map<EndpointId, EndpointAvailability>) =
+        post {
+            states.forEach { (endpoint, state) ->
+                orderEvent(OrderEvent.Availability(endpoint, state is EndpointAvailability.Serving))
+            }
+        }
+
+    /** Learns that this process was paused. */
+    fun wokeFromPause() = post { leaseEvent(LeaseEvent.Paused) }
+
+    /** Gives the lease back once no order can still take effect. */
+    fun stop() = post { if (!machine.busy(monotonicNow())) leaseEvent(LeaseEvent.Release) }
+
+    /** Passes a report on the lease and the orders to [answer] on this component's thread. */
+    fun status(answer: (JsonObject) -> Unit) = post { answer(report()) }
+
+    private fun report(): JsonObject =
+        buildJsonObject {
+            put("holdsLease", fence != null)
+            fence?.let { put("fence", it) }
+            putJsonObject("progress") { progress.forEach { (name, state) -> put(name, state.name.lowercase()) } }
+        }
+
+    private fun post(block: () -> Unit) {
+        if (!component.offer(block)) timers.after(RING_RETRY) { post(block) }
+    }
+
+    private fun tick() {
+        leaseEvent(LeaseEvent.Tick)
+        orderEvent(OrderEvent.Tick)
+    }
+
+    private fun apply(items: List<StoredObject>) {
+        var ordersChanged = false
+        for (item in items) {
+            when (item.key.kind) {
+                ObjectKind.ENDPOINT, ObjectKind.MODEL -> {
+                    directory.apply(item)
+                }
+
+                ObjectKind.ORDER -> {
+                    ordersChanged = true
+                    applyOrder(item)
+                }
+
+                else -> {
+                    Unit
+                }
+            }
+        }
+        orderEvent(
+            OrderEvent.Endpoints(directory.engines().map { OrderedEndpoint(it.id, directory.checksFence(it.id)) }),
+        )
+        if (ordersChanged) orderEvent(OrderEvent.Desired(orders.values.toList()))
+    }
+
+    private fun applyOrder(item: StoredObject) {
+        val order = OrderCodec.parseOrNull(item)
+        if (order != null) {
+            orders[item.key.name] = order
+        } else {
+            orders.remove(item.key.name)
+            progress.remove(item.key.name)
+        }
+    }
+
+    private fun leaseEvent(event: LeaseEvent) {
+        for (action in lease.handle(monotonicNow(), event)) {
+            when (action) {
+                is LeaseAction.Read -> leaseStore.read { leaseEvent(it) }
+                is LeaseAction.Perform -> leaseStore.perform(action.action) { leaseEvent(it) }
+                is LeaseAction.Held -> held(action)
+                is LeaseAction.Lost -> lost(action)
+            }
+        }
+    }
+
+    private fun held(action: LeaseAction.Held) {
+        if (fence != action.fence) EventLog.info("lease for orders acquired", "fence" to action.fence)
+        fence = action.fence
+        val held = OrderLease(action.fence, action.quietFrom, action.validUntil)
+        orderEvent(OrderEvent.LeaseChanged(held))
+    }
+
+    private fun lost(action: LeaseAction.Lost) {
+        EventLog.warn("lease for orders lost", "reason" to action.reason)
+        fence = null
+        orderEvent(OrderEvent.LeaseChanged(null))
+    }
+
+    private fun orderEvent(event: OrderEvent) {
+        for (action in machine.handle(monotonicNow(), event)) {
+            when (action) {
+                is OrderAction.Send -> send(action)
+                is OrderAction.ReadState -> readState(action.endpoint)
+                is OrderAction.Report -> reported(action)
+            }
+        }
+    }
+
+    private fun send(action: OrderAction.Send) {
+        val endpoint = action.order.endpoint
+        val address = address(endpoint)
+        val now: Timestamp = monotonicNow()
+        if (address == null || !lease.mayAct(now, action.expiresIn)) {
+            post { orderEvent(OrderEvent.Answered(endpoint, OrderAnswer.NotSent)) }
+            return
+        }
+        engines.send(address, action) { answer -> post { orderEvent(OrderEvent.Answered(endpoint, answer)) } }
+    }
+
+    private fun readState(endpoint: EndpointId) {
+        val address = address(endpoint)
+        if (address == null) {
+            post { orderEvent(OrderEvent.StateRead(endpoint, null)) }
+            return
+        }
+        engines.state(address) { state -> post { orderEvent(OrderEvent.StateRead(endpoint, state)) } }
+    }
+
+    private fun reported(action: OrderAction.Report) {
+        progress[action.order.name] = action.progress
+        EventLog.info(
+            "order progressed",
+            "order" to action.order.name,
+            "endpoint" to action.order.endpoint,
+            "progress" to action.progress,
+        )
+    }
+
+    private fun address(endpoint: EndpointId): Address? =
+        directory.engine(endpoint)?.let { Address.parseOrNull(it.address) }
+
+    private companion object {
+        const val RING_CAPACITY = 4_096
+
+        /** A few instances read the lease object, so that one is left when others are replaced. */
+        const val CANDIDATES = 3
+        val TICK: Duration = 100.milliseconds
+        val RING_RETRY: Duration = 2.milliseconds
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -23,6 +23,7 @@
 import oriolespindle.router.http.ClientCall
 import oriolespindle.router.logging.EventLog
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
@@ -59,15 +60,21 @@
 
     fun start() {
         recovery.admitted()
-        admitted { avoid -> choose(query.copy(avoid = query.avoid + avoid)) }
+        admitted { isolation -> choose(query, isolation) }
     }
 
+    /** Endpoints that run other requests that were running at a crash. */
+    private class Isolation(
+        val avoid: Set<EndpointId>,
+        val isStrict: Boolean,
+    )
+
     /** Calls [next] with the endpoints to avoid once the request may run, or ends a request that crashes endpoints. */
-    private fun admitted(next: (avoid: Set<EndpointId>) -> Unit) {
+    private fun admitted(next: (Isolation) -> Unit) {
         if (finished) return
         when (val admission = crashes.admit(fingerprint)) {
             is Admission.Free -> {
-                next(emptySet())
+                next(Isolation(emptySet(), isStrict = false))
             }
 
             is Admission.Refuse -> {
@@ -78,7 +85,7 @@
                 if (admission.wait > Duration.ZERO) {
                     context.continueAfter(admission.wait) { admitted(next) }
                 } else {
-                    next(admission.avoid)
+                    next(Isolation(admission.avoid, admission.strict))
                 }
             }
         }
@@ -93,11 +100,30 @@
         }
     }
 
-    private fun choose(query: RouteQuery) {
-        when (val choice = routes.selector(request.model)?.choose(context.now(), query)) {
+    /**
+     * Sends to a chain outside [isolation] if there is one.
+     *
+     * Without one, a request that was running at several crashes waits, and any other runs on any chain.
+     */
+    private fun choose(
+        query: RouteQuery,
+        isolation: Isolation,
+    ) {
+        val selector = routes.selector(request.model)
+        if (selector == null) {
+            end(noChain(RefusalReason.UNKNOWN_MODEL, "model '${request.model.value}' has no plan"))
+            return
+        }
+        val isolated = selector.choose(context.now(), query.copy(avoid = query.avoid + isolation.avoid))
+        val isAlone = isolated is ChainChoice.Chosen || isolation.avoid.isEmpty()
+        if (!isAlone && isolation.isStrict) {
+            context.continueAfter(ISOLATION_RETRY) { admitted { choose(query, it) } }
+            return
+        }
+        val choice = if (isAlone) isolated else selector.choose(context.now(), query)
+        when (choice) {
             is ChainChoice.Chosen -> send(choice.chain, choice.chain.stages.map { StageCache.Recompute })
             is ChainChoice.Unavailable -> end(noChain(choice.reason, "no chain of endpoints covers all layers"))
-            null -> end(noChain(RefusalReason.UNKNOWN_MODEL, "model '${request.model.value}' has no plan"))
         }
     }
 
@@ -345,11 +371,11 @@
     /** A request that was running at a crash is sent to a chain without other such requests, if there is one. */
     private fun sendAgain(decided: Recovery.Resume) {
         val repair = decided.repair
-        admitted { avoid ->
-            if (repair.chain.stages.none { it.endpoint in avoid }) {
+        admitted { isolation ->
+            if (repair.chain.stages.none { it.endpoint in isolation.avoid }) {
                 send(repair.chain, repair.cache)
             } else {
-                choose(query.copy(avoid = query.avoid + avoid + repair.failed))
+                choose(query.copy(avoid = query.avoid + repair.failed), isolation)
             }
         }
     }
@@ -384,5 +410,8 @@
 
     private companion object {
         val NO_CHAIN_RETRY = 1.seconds
+
+        /** Other suspects end within a few hundred milliseconds, or crash their endpoint. */
+        val ISOLATION_RETRY = 100.milliseconds
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
@@ -81,8 +81,15 @@
         plan: ChainPlan,
     ) {
         pendingPlans--
+        if (generations[model] == generation) use(now, model, plan)
         onPlanned()
-        if (generations[model] != generation) return
+    }
+
+    private fun use(
+        now: Timestamp,
+        model: ModelId,
+        plan: ChainPlan,
+    ) {
         val selector = selectors.getOrPut(model) { ChainSelector(instance, ChainSelectorSettings(), random) }
         selector.plan(now, plan)
         plans[model] = plan
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.request
 
 import kotlinx.serialization.json.JsonObject
+import oriolespindle.core.chain.EndpointAvailability
 import oriolespindle.core.chain.LinkObservation
 import oriolespindle.core.chain.LoadReport
 import oriolespindle.core.config.ObjectKind
@@ -32,6 +33,7 @@
     val used: (UsageReport) -> Unit,
     val demand: (DemandReport) -> Unit,
     val evidence: (List<CrashEvidence>) -> Unit,
+    val availability: (Map<EndpointId, EndpointAvailability>) -> Unit,
 )
 
 /** Handles callers' requests from arrival to answer, on one thread. */
@@ -45,7 +47,7 @@
 ) {
     private val component = Component("requests", RING_CAPACITY, ::handle)
     private val context = createContext(component::offer)
-    private val routes = createRoutes(context, ::updateReadiness)
+    private val routes = createRoutes(context, ::planned)
     private val endpoints = EndpointStates(context.directory)
     private val retries = RetryPolicy(jitter = jitter)
     private val admission = Admission(context)
@@ -55,6 +57,7 @@
     private val api = CallerApi(context, completions::handle, services::handle)
 
     private var configured = false
+    private var availability = emptyMap<EndpointId, EndpointAvailability>()
     private var demandDue = Timestamp(Long.MIN_VALUE)
     private var usageDue = Timestamp(Long.MIN_VALUE)
 
@@ -183,16 +186,31 @@
             usageDue = now + USAGE_INTERVAL
             listeners.used(admission.usage())
         }
-        for ((endpoint, state) in endpoints.engines(now)) {
+        updateAvailability(now)
+    }
+
+    /** Passes on the states of engines that changed; a selector samples anew after each change. */
+    private fun updateAvailability(now: Timestamp) {
+        val states = endpoints.engines(now)
+        for ((endpoint, state) in states) {
+            if (availability[endpoint] == state) continue
             val model = context.directory.engine(endpoint)?.model ?: continue
             routes.selector(model)?.availability(now, endpoint, state)
         }
+        if (states != availability) listeners.availability(states)
+        availability = states
     }
 
     private fun tellContracts() {
         listeners.contracts(context.contracts.contracts().map { TeamSlots(it.team, it.concurrency) })
     }
 
+    /** A new plan may have engines that the selector did not know when their state changed. */
+    private fun planned() {
+        availability = emptyMap()
+        updateReadiness()
+    }
+
     /** Once ready, the component stays ready: a new plan replaces one that still serves. */
     private fun updateReadiness() {
         if (configured && routes.pendingPlans == 0) isReady = true
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ObjectWriter.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/ObjectWriter.kt
@@ -76,19 +76,21 @@
             post { handle(event) }
         }
     }
+}
 
-    private fun writeEvent(answer: PlatformResult<PlatformObject>): WriteEvent =
-        when (answer) {
-            is PlatformResult.Ok -> WriteEvent.Landed(Revision(answer.value.version))
-            is PlatformResult.Conflict -> WriteEvent.Conflict(answer.current?.toStored())
-            is PlatformResult.NotFound -> WriteEvent.Conflict(null)
-            is PlatformResult.Unavailable -> if (answer.maybeApplied) WriteEvent.Lost else WriteEvent.Unavailable
-        }
+/** Returns what the answer to a conditional write means. */
+internal fun writeEvent(answer: PlatformResult<PlatformObject>): WriteEvent =
+    when (answer) {
+        is PlatformResult.Ok -> WriteEvent.Landed(Revision(answer.value.version))
+        is PlatformResult.Conflict -> WriteEvent.Conflict(answer.current?.toStored())
+        is PlatformResult.NotFound -> WriteEvent.Conflict(null)
+        is PlatformResult.Unavailable -> if (answer.maybeApplied) WriteEvent.Lost else WriteEvent.Unavailable
+    }
 
-    private fun readEvent(answer: PlatformResult<PlatformObject>): WriteEvent =
-        when (answer) {
-            is PlatformResult.Ok -> WriteEvent.ReadBack(answer.value.toStored())
-            is PlatformResult.NotFound -> WriteEvent.ReadBack(null as StoredObject?)
-            is PlatformResult.Conflict, is PlatformResult.Unavailable -> WriteEvent.Unavailable
-        }
-}
+/** Returns what the answer to a read back means. */
+internal fun readEvent(answer: PlatformResult<PlatformObject>): WriteEvent =
+    when (answer) {
+        is PlatformResult.Ok -> WriteEvent.ReadBack(answer.value.toStored())
+        is PlatformResult.NotFound -> WriteEvent.ReadBack(null as StoredObject?)
+        is PlatformResult.Conflict, is PlatformResult.Unavailable -> WriteEvent.Unavailable
+    }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -21,7 +21,6 @@
 import oriolespindle.core.limit.UsageReport
 import oriolespindle.core.membership.Member
 import oriolespindle.core.membership.MemberRecord
-import oriolespindle.core.membership.MemberState
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.metrics.Metrics
 import oriolespindle.router.peer.PeerIdentity
@@ -44,7 +43,7 @@
     val changed: (List<StoredObject>) -> Boolean,
     val listed: (PlatformInstanceList) -> Unit,
     val operators: (List<StoredObject>) -> Unit,
-    val members: (Set<InstanceId>) -> Unit,
+    val members: (List<Member>) -> Unit,
     val shares: (ShareUpdate) -> Unit,
     val paused: () -> Unit,
     val removed: () -> Unit,
@@ -253,7 +252,7 @@
         val members = fleet.members(now)
         configuration.handle(now, SyncEvent.Members(members))
         shares.members(now, members)
-        listeners.members(members.filter { it.record.state < MemberState.DEAD }.mapTo(HashSet()) { it.id })
+        listeners.members(members)
     }
 
     private fun listed(
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/OrderProcessTest.kt
@@ -0,0 +1,59 @@
+package oriolespindle.router.process
+
+import org.junit.jupiter.api.Test
+import oriolespindle.testkit.http.TestClient
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import kotlin.io.path.createTempFile
+import kotlin.io.path.writeText
+
+/** Guards operators' orders against being lost, carried out without a lease, or left in conflict. */
+class OrderProcessTest {
+    @Test
+    fun `of two orders for one engine the newer one is carried out and the other is reported as superseded`() {
+        val tokenFile = createTempFile().also { it.writeText(TOKEN) }
+        TestFleet(enginesPerRange = 1, routerFlags = listOf("--operator-token-file", tokenFile.toString())).use { fleet ->
+            val first = put(fleet, 0, "first", "prefill")
+            val second = put(fleet, 1, "second", "decode")
+
+            expectThat(listOf(first, second)).isEqualTo(listOf(200, 200))
+            expectThat(eventually { "\"role\":\"decode\"" in state(fleet) }).isTrue()
+            expectThat(eventually { statuses(fleet).any { "\"second\":\"done\"" in it } }).isTrue()
+            expectThat(statuses(fleet).joinToString()).contains("\"first\":\"superseded\"")
+        }
+    }
+
+    private fun put(
+        fleet: TestFleet,
+        router: Int,
+        name: String,
+        role: String,
+    ): Int {
+        val order = """{"endpoint":"${fleet.heads[0].name}","action":"role","role":"$role"}"""
+        val headers = AUTHORIZATION + ("If-None-Match" to "*")
+        return TestClient(fleet.routers[router].administration)
+            .call("PUT", "/v1/objects/order/$name", order, headers)
+            .status
+    }
+
+    private fun state(fleet: TestFleet): String = TestClient(fleet.heads[0].address).call("GET", "/v1/state").body
+
+    private fun statuses(fleet: TestFleet): List<String> =
+        fleet.routers.map { TestClient(it.administration).call("GET", "/v1/status", headers = AUTHORIZATION).body }
+
+    /** A new lease is not used for about 16 s, so that a holder of a deleted lease object can no longer act. */
+    private fun eventually(condition: () -> Boolean): Boolean =
+        (1..POLLS).any {
+            Thread.sleep(POLL_MILLIS)
+            condition()
+        }
+
+    private companion object {
+        const val TOKEN = "test-operator-token-0123456789"
+        const val POLLS = 300
+        const val POLL_MILLIS = 200L
+        val AUTHORIZATION = mapOf("Authorization" to "Bearer $TOKEN")
+    }
+}
