Prune claims whose keys are refused everywhere

Cause: claims are named by digests, so that old ones cannot be found without reading the whole list, and nothing deleted them. Ruled out: a retention period in the contract. Raising it would accept keys again whose claims were already deleted. The claim and crash tests share one virtual clock. KDoc samples show how a call and a retry are driven. Conclusion: a claim is deleted only after its key cannot run again; claims of ended instances need the list.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimMessages.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimMessages.kt
@@ -11,6 +11,16 @@
  * Each [ClaimAction.WriteClaim] and [ClaimAction.StoreOutcome] is answered by exactly one of [WriteLanded],
  * [WriteConflict], [WriteLost] and [WriteUnavailable]; each [ClaimAction.ReadClaim] by [ReadBack] or [ReadUnavailable];
  * each [ClaimAction.Send] by one of the endpoint events. An answer that arrives after a loss was reported is dropped.
+ *
+ * A call without faults:
+ *
+ * ```
+ * val call = ClaimCall(self, request)
+ * call.handle(now, ClaimEvent.Start)                               // WriteClaim
+ * call.handle(now, ClaimEvent.WriteLanded(version))                // Send
+ * call.handle(now, ClaimEvent.EndpointAnswered(200, body, "text")) // Answer, StoreOutcome
+ * call.handle(now, ClaimEvent.WriteLanded(next))                   // nothing; the call is finished
+ * ```
  */
 public sealed interface ClaimEvent {
     /** The caller's request has arrived. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/KeyRules.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/KeyRules.kt
@@ -30,8 +30,9 @@
  * [retention] plus [clockMargin], because an instance whose wall clock is late still accepts the key for that long.
  * A key without a time is never pruned: nothing else would stop an old one from running again.
  *
- * [retention] is the age up to which a repeat is answered from the stored claim. [maxFuture] is how far a caller's
- * clock may be ahead; a key from further ahead would outlive its claim.
+ * [retention] is the age up to which a repeat is answered from the stored claim. It is a setting of the whole fleet and
+ * not of a contract: raising it would accept keys again whose claims were pruned under the shorter one. [maxFuture] is
+ * how far a caller's clock may be ahead; a key from further ahead would outlive its claim.
  */
 public data class KeyRules(
     public val retention: Duration = 24.hours,
@@ -65,11 +66,14 @@
         }
     }
 
-    /** Returns whether the claim of [key] can be deleted at wall-clock time [at] without letting the key run again. */
+    /** Returns when the claim of [key] can be deleted without letting the key run again, or null for never. */
+    public fun prunableAfter(key: IdempotencyKey): Instant? = key.time?.let { it + retention + clockMargin }
+
+    /** Returns whether the claim of [key] can be deleted at wall-clock time [at]. */
     public fun prunable(
         key: IdempotencyKey,
         at: Instant,
-    ): Boolean = key.time?.let { at - it > retention + clockMargin } ?: false
+    ): Boolean = prunableAfter(key)?.let { at > it } ?: false
 
     private fun withoutKey(): KeyDecision =
         if (allowCallsWithoutKey) {
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
@@ -16,6 +16,14 @@
  * and if the budgets of its team and its service both allow it. The final answer is "not run" only if no attempt can
  * have run, and unknown otherwise. This is the only layer that retries.
  *
+ * ```
+ * policy.admitted(now, team, service)
+ * when (val decision = policy.decide(now, failure)) {
+ *     is RetryDecision.Retry -> timers.after(decision.after) { startAttempt() }
+ *     is RetryDecision.Answer -> answerCaller(decision.outcome)
+ * }
+ * ```
+ *
  * [jitter] returns a number from 0 up to 1 and spreads waits, so that callers do not come back together.
  */
 public class RetryPolicy(
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/ClaimCallTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/ClaimCallTest.kt
@@ -9,13 +9,12 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
-import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.seconds
 
 class ClaimCallTest {
     private fun run(defect: Defect): ClaimCounts {
-        val counts =
-            (1L..SCHEDULES).fold(ClaimCounts()) { sum, seed -> sum + ClaimWorld(seed, defect).run() }
+        val counts = ClaimCounts()
+        (1L..SCHEDULES).forEach { ClaimWorld(it, defect).run(counts) }
         println("claim: $SCHEDULES schedules, $defect: $counts")
         return counts
     }
@@ -68,7 +67,7 @@
         val actions = events.flatMap { call.handle(Timestamp.ZERO, it) }
 
         expectThat(actions.map { it::class.simpleName }).containsExactly("WriteClaim", "Send", "Answer", "StoreOutcome")
-        expectThat(call.finished).isTrue()
+        expectThat(call.finished).isEqualTo(true)
     }
 
     private companion object {
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/ClaimWorld.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/ClaimWorld.kt
@@ -1,11 +1,11 @@
 package oriolespindle.core.claim
 
+import oriolespindle.core.VirtualTime
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.time.Timestamp
-import java.util.PriorityQueue
 import java.util.SplittableRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,16 +27,10 @@
     seed: Long,
     private val defect: Defect,
 ) {
-    private class Task(
-        val at: Timestamp,
-        val order: Int,
-        val run: () -> Unit,
-    )
-
     private inner class Instance(
         val id: InstanceId,
     ) {
-        val diesAt = if (chance(0.4)) time(6_000) else Timestamp(Long.MAX_VALUE)
+        val diesAt = if (chance(0.4)) momentWithin(6_000) else Timestamp(Long.MAX_VALUE)
         val pause = interval(0.3, 8_000)
         val cut = interval(0.2, 8_000)
         val noticesPause = chance(0.5)
@@ -46,8 +40,8 @@
         fun run(
             at: Timestamp,
             action: () -> Unit,
-        ) = schedule(at) {
-            if (alive && now in pause) schedule(pause.endInclusive + 1.milliseconds) { if (alive) action() }
+        ) = time.schedule(at) {
+            if (alive && now in pause) time.schedule(pause.endInclusive + 1.milliseconds) { if (alive) action() }
             if (alive && now !in pause) action()
         }
     }
@@ -65,7 +59,7 @@
             instance.run(now) { handle(ClaimEvent.Start) }
             instance.run(request.deadline) { handle(ClaimEvent.DeadlinePassed) }
             if (instance.noticesPause && now <= instance.pause.endInclusive) {
-                schedule(instance.pause.endInclusive) { handle(ClaimEvent.WokeFromPause) }
+                time.schedule(instance.pause.endInclusive) { handle(ClaimEvent.WokeFromPause) }
             }
         }
 
@@ -101,12 +95,12 @@
                 }
 
                 chance(0.15) -> {
-                    schedule(now + delay(if (chance(0.5)) 5 else 6_000)) { apply(value, expected) }
+                    time.schedule(now + delay(if (chance(0.5)) 5 else 6_000)) { apply(value, expected) }
                     instance.run(now + 300.milliseconds) { handle(lost) }
                 }
 
                 else -> {
-                    schedule(now + delay(5)) { reply(apply(value, expected)) }
+                    time.schedule(now + delay(5)) { reply(apply(value, expected)) }
                 }
             }
         }
@@ -123,7 +117,11 @@
             expected: ClaimVersion?,
         ): ClaimEvent {
             val current = stored
-            if (current?.version != expected) return ClaimEvent.WriteConflict(seen(current ?: ABSENT))
+            if (current?.version !=
+                expected
+            ) {
+                return ClaimEvent.WriteConflict(seen(current ?: StoredClaim(ClaimVersion(0), null)))
+            }
             val version = ClaimVersion((current?.version?.value ?: 0) + 1)
             stored = StoredClaim(version, ClaimRecord.parse(value.encode()))
             return ClaimEvent.WriteLanded(version)
@@ -139,7 +137,7 @@
         private fun read() {
             val unreachable = now in outage || now in instance.cut || chance(0.1)
             if (unreachable) return instance.run(now + 300.milliseconds) { handle(ClaimEvent.ReadUnavailable) }
-            schedule(now + delay(5)) { reply(ClaimEvent.ReadBack(stored?.let(::seen))) }
+            time.schedule(now + delay(5)) { reply(ClaimEvent.ReadBack(stored?.let(::seen))) }
         }
 
         private fun send(action: ClaimAction.Send) {
@@ -149,7 +147,7 @@
                 chance(0.1) -> return reply(ClaimEvent.NotSent(RefusalReason.NO_ENDPOINT))
                 chance(0.1) -> return reply(ClaimEvent.EndpointNotRun())
                 lost && chance(0.3) -> Unit
-                else -> schedule(now + delay(if (chance(0.8)) 20 else 4_000)) { runCall(lost) }
+                else -> time.schedule(now + delay(if (chance(0.8)) 20 else 4_000)) { runCall(lost) }
             }
             if (lost) instance.run(now + 200.milliseconds) { handleLostAnswer(action) }
         }
@@ -168,9 +166,8 @@
     }
 
     private val random = SplittableRandom(seed)
-    private val tasks = PriorityQueue(compareBy<Task>({ it.at }, { it.order }))
-    private var order = 0
-    private var now = Timestamp.ZERO
+    private val time = VirtualTime()
+    private val now get() = time.now
     private val outage = interval(0.2, 6_000)
     private val instances = List(3) { Instance(InstanceId("i$it")) }
     private val epoch = Instant.fromEpochMilliseconds(1_704_067_200_000)
@@ -182,80 +179,52 @@
     private val calls = mutableListOf<Call>()
 
     /** Runs the schedule to its end and counts what the service and the callers saw. */
-    fun run(): ClaimCounts {
+    fun run(counts: ClaimCounts) {
         repeat(1 + random.nextInt(6)) { index ->
-            val at = if (chance(0.3)) Timestamp.ZERO else time(12_000)
+            val at = if (chance(0.3)) Timestamp.ZERO else momentWithin(12_000)
             val digest = digests[if (chance(0.05)) 1 else 0]
-            schedule(at) { Call(instances[random.nextInt(3)], RequestId("r$index"), digest).also(calls::add).start() }
-        }
-        while (true) {
-            val task = tasks.poll() ?: break
-            now = task.at
-            task.run()
+            time.schedule(
+                at,
+            ) { Call(instances[random.nextInt(3)], RequestId("r$index"), digest).also(calls::add).start() }
         }
+        time.run()
         val outcomes = calls.flatMap { call -> call.answers.map { call.id to it } }
         val holder = stored?.record?.takeIf { it.state == ClaimState.Claimed }?.holder
-        return ClaimCounts(
-            requests = calls.size,
-            duplicates = maxOf(0, effects.size - 1),
-            falseNotRun = outcomes.count { (id, outcome) -> outcome is ClaimOutcome.NotRun && id in effects },
-            falseDone = outcomes.count { (_, outcome) -> outcome is ClaimOutcome.Answered && effects.isEmpty() },
-            answeredTwice = calls.count { it.answers.size > 1 },
-            unansweredByLive = calls.count { it.answers.isEmpty() && it.instance.alive },
-            done = outcomes.count { (_, outcome) -> outcome is ClaimOutcome.Answered },
-            notRun = outcomes.count { (_, outcome) -> outcome is ClaimOutcome.NotRun },
-            blockedKeys = if (effects.isEmpty() && instances.any { it.id == holder && it.alive }) 1 else 0,
-        )
+        counts.requests += calls.size
+        counts.duplicates += maxOf(0, effects.size - 1)
+        counts.falseNotRun += outcomes.count { (id, outcome) -> outcome is ClaimOutcome.NotRun && id in effects }
+        counts.falseDone += outcomes.count { (_, outcome) -> outcome is ClaimOutcome.Answered && effects.isEmpty() }
+        counts.answeredTwice += calls.count { it.answers.size > 1 }
+        counts.unansweredByLive += calls.count { it.answers.isEmpty() && it.instance.alive }
+        counts.done += outcomes.count { (_, outcome) -> outcome is ClaimOutcome.Answered }
+        counts.notRun += outcomes.count { (_, outcome) -> outcome is ClaimOutcome.NotRun }
+        if (effects.isEmpty() && instances.any { it.id == holder && it.alive }) counts.blockedKeys++
     }
 
     private fun chance(probability: Double) = random.nextDouble() < probability
 
     private fun delay(millis: Int): Duration = random.nextInt(millis * 1_000).let { (it / 1_000.0).milliseconds }
 
-    private fun time(millis: Int) = Timestamp.ZERO + delay(millis)
+    private fun momentWithin(millis: Int) = Timestamp.ZERO + delay(millis)
 
     private fun interval(
         probability: Double,
         millis: Int,
     ): ClosedRange<Timestamp> {
-        val start = time(10_000)
+        val start = momentWithin(10_000)
         return if (chance(probability)) start..(start + delay(millis)) else Timestamp(-2)..Timestamp(-1)
     }
-
-    private fun schedule(
-        at: Timestamp,
-        action: () -> Unit,
-    ) {
-        tasks += Task(maxOf(at, now), order++, action)
-    }
-
-    private companion object {
-        val ABSENT = StoredClaim(ClaimVersion(0), null)
-    }
 }
 
-/** What one or more schedules showed. */
+/** What the schedules showed so far. */
 data class ClaimCounts(
-    val requests: Int = 0,
-    val duplicates: Int = 0,
-    val falseNotRun: Int = 0,
-    val falseDone: Int = 0,
-    val answeredTwice: Int = 0,
-    val unansweredByLive: Int = 0,
-    val done: Int = 0,
-    val notRun: Int = 0,
-    val blockedKeys: Int = 0,
-) {
-    operator fun plus(other: ClaimCounts) =
-        ClaimCounts(
-            requests + other.requests,
-            duplicates + other.duplicates,
-            falseNotRun + other.falseNotRun,
-            falseDone + other.falseDone,
-            answeredTwice + other.answeredTwice,
-            unansweredByLive + other.unansweredByLive,
-            done + other.done,
-            notRun + other.notRun,
-            blockedKeys + other.blockedKeys,
-        )
-}
+    var requests: Int = 0,
+    var duplicates: Int = 0,
+    var falseNotRun: Int = 0,
+    var falseDone: Int = 0,
+    var answeredTwice: Int = 0,
+    var unansweredByLive: Int = 0,
+    var done: Int = 0,
+    var notRun: Int = 0,
+    var blockedKeys: Int = 0,
+)
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/KeyRulesTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/KeyRulesTest.kt
@@ -5,9 +5,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
-import strikt.assertions.isFalse
 import strikt.assertions.isNull
-import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -34,9 +32,9 @@
 
         expectThat(rules.check(text, created + 24.hours)).isA<KeyDecision.Claim>()
         expectThat(refusal(rules.check(text, created + 24.hours + 1.seconds))).isEqualTo(RefusalReason.KEY_EXPIRED)
-        expectThat(rules.prunable(key, created + 25.hours)).isFalse()
-        expectThat(rules.prunable(key, created + 25.hours + 1.seconds)).isTrue()
-        expectThat(rules.prunable(IdempotencyKey.parse("order-7"), created + 9000.hours)).isFalse()
+        expectThat(rules.prunable(key, created + 25.hours)).isEqualTo(false)
+        expectThat(rules.prunable(key, created + 25.hours + 1.seconds)).isEqualTo(true)
+        expectThat(rules.prunable(IdempotencyKey.parse("order-7"), created + 9000.hours)).isEqualTo(false)
     }
 
     @Test
@@ -52,4 +50,18 @@
         expectThat(refusal(rules.check(null, created))).isEqualTo(RefusalReason.KEY_REQUIRED)
         expectThat(rules.copy(allowCallsWithoutKey = true).check(null, created)).isEqualTo(KeyDecision.SendOnce)
     }
+
+    @Test
+    fun `guards against deleting a claim whose key may still run and against a burst of deletes`() {
+        val pruner = ClaimPruner(rules)
+        val claim = PrunedClaim(ClaimObject("c"), ClaimVersion(1))
+        repeat(100) { pruner.add(IdempotencyKey.parse(text), claim) }
+        pruner.add(IdempotencyKey.parse("order-7"), claim)
+
+        expectThat(pruner.due(created).size).isEqualTo(0)
+        expectThat(pruner.due(created + 25.hours).size).isEqualTo(0)
+        expectThat(pruner.due(created + 25.hours + 1.seconds).size).isEqualTo(20)
+        expectThat(pruner.due(created + 25.hours + 6.seconds).size).isEqualTo(10)
+        expectThat(pruner.size).isEqualTo(70)
+    }
 }
