Let operators release a request that is refused as crashing endpoints

Cause: a refused request never completes, so that one that was identified by mistake stays refused for 24 h. The test's figures also differed between runs, because lost requests were visited in an order that followed object identity. Change: CrashGuard.identified and CrashGuard.release, which reaches peers with the evidence; the test keeps requests in the order of their start.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashGuard.kt
@@ -14,6 +14,13 @@
  * one with as many crashes. If others have as many, they run one after the other, and the third crash identifies the
  * request. The other suspects of a crash whose cause is identified are suspects no more.
  *
+ * ```
+ * if (guard.admit(now, fingerprint) == Admission.Free) guard.started(now, fingerprint, chain)
+ * guard.crashed(now, endpoint)                                   // once for each crash
+ * guard.finished(now, fingerprint, chain, complete = false)      // for each request that was lost by it
+ * peers.send(guard.evidence(sentRevision))                       // whenever guard.revision has grown
+ * ```
+ *
  * The bound of three endpoints holds while evidence reaches the other instances before the caller's repeat does and
  * while one copy of the request runs at a time. Instances that cannot reach each other each have the bound to
  * themselves.
@@ -92,6 +99,18 @@
         return Admission.Isolate(avoid(fingerprint), wait(now, fingerprint, crashes), strict = crashes.size > 1)
     }
 
+    /** Returns the requests that were identified as causing crashes, for the status that operators see. */
+    public fun identified(): Set<Fingerprint> = records.causes()
+
+    /**
+     * Clears [fingerprint] on an operator's decision, here and, through the evidence, at the peers.
+     *
+     * A refused request never completes, so that one that was identified by mistake could not be cleared otherwise.
+     */
+    public fun release(fingerprint: Fingerprint) {
+        records.clear(fingerprint)
+    }
+
     /** Returns what is known about the crashes that changed after revision [since]. */
     public fun evidence(since: Long = 0): List<CrashEvidence> = records.since(since).map { it.evidence() }
 
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashRecords.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashRecords.kt
@@ -40,6 +40,8 @@
     var revision = 0L
         private set
 
+    fun causes(): Set<Fingerprint> = records.mapNotNullTo(HashSet()) { it.cause }
+
     fun since(revision: Long): List<CrashRecord> = records.filter { it.revision > revision }
 
     /**
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/CrashGuardTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/CrashGuardTest.kt
@@ -1,6 +1,9 @@
 package oriolespindle.core.crash
 
 import org.junit.jupiter.api.Test
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.time.Timestamp
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -22,11 +25,9 @@
     fun `guards against a repeated request that ends more than three endpoints`() {
         val counts = run(CrashScenario("40 endpoints"), 300)
         val chains = run(CrashScenario("10 chains of 4", chainLength = 4, requestsPerSecond = 50), 50)
-        val few = run(CrashScenario("3 endpoints", endpoints = 3, requestsPerSecond = 10), 50)
 
         expectThat(counts.most).isLessThanOrEqualTo(3)
         expectThat(chains.most).isLessThanOrEqualTo(3)
-        expectThat(few.most).isLessThanOrEqualTo(3)
         expectThat(run(CrashScenario("without exchange", exchange = false), 10).most).isGreaterThan(3)
 
         // Stricter than a part of all requests: of those that were in flight at a crash, under 1 in 1,000 is refused.
@@ -38,12 +39,25 @@
     @Test
     fun `guards against more innocent requests being refused when suspects are not kept apart`() {
         val few = CrashScenario("3 endpoints", endpoints = 3, requestsPerSecond = 10)
-        val apart = run(few, 50).innocentsRefused
-
+        val apart = run(few, 50)
+        expectThat(apart.most).isLessThanOrEqualTo(3)
         expectThat(run(few.copy(name = "3 endpoints, not kept apart", isolate = false), 50).innocentsRefused)
-            .isGreaterThan(apart)
-        println("The following figures have no bound.")
-        run(CrashScenario("two copies at once", copies = 2), 50)
-        run(CrashScenario("six endpoints of a rack fail", rackFails = true), 50)
+            .isGreaterThan(apart.innocentsRefused)
+        run(CrashScenario("two copies at once, no bound", copies = 2), 50)
+        run(CrashScenario("six endpoints of a rack fail, no bound", rackFails = true), 50)
+    }
+
+    @Test
+    fun `guards against a request that is refused by mistake staying refused`() {
+        val guard = CrashGuard(CrashSettings(), InstanceId("i"))
+        val request = Fingerprint("f")
+        (1..3).map { EndpointId("e$it") }.forEach { endpoint ->
+            guard.started(Timestamp.ZERO, request, listOf(endpoint))
+            guard.crashed(Timestamp.ZERO, endpoint)
+        }
+        expectThat(guard.admit(Timestamp.ZERO, request)).isEqualTo(Admission.Refuse)
+        expectThat(guard.identified()).isEqualTo(setOf(request))
+        guard.release(request)
+        expectThat(guard.admit(Timestamp.ZERO, request)).isEqualTo(Admission.Free)
     }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/CrashWorld.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/CrashWorld.kt
@@ -1,10 +1,10 @@
 package oriolespindle.core.crash
 
+import oriolespindle.core.VirtualTime
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.time.Timestamp
-import java.util.PriorityQueue
 import java.util.SplittableRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -42,12 +42,6 @@
     private val scenario: CrashScenario,
     private val counts: CrashCounts,
 ) {
-    private class Task(
-        val at: Timestamp,
-        val order: Int,
-        val run: () -> Unit,
-    )
-
     private class Run(
         val instance: Int,
         val fingerprint: Fingerprint,
@@ -61,14 +55,13 @@
     }
 
     private val random = SplittableRandom(seed)
-    private val tasks = PriorityQueue(compareBy<Task>({ it.at }, { it.order }))
-    private var order = 0
-    private var now = Timestamp.ZERO
+    private val time = VirtualTime()
+    private val now get() = time.now
     private val endpoints = List(scenario.endpoints) { EndpointId("e$it") }
     private val up = endpoints.toMutableSet()
     private val guards = List(9) { CrashGuard(CrashSettings(), InstanceId("i$it")) }
     private val sent = LongArray(guards.size)
-    private val running = HashSet<Run>()
+    private val running = LinkedHashSet<Run>()
     private var ended = 0
 
     fun run() {
@@ -88,11 +81,7 @@
             schedule(millis(1_000 * SECONDS)) { crash(endpoints[random.nextInt(endpoints.size)]) }
         }
         if (scenario.rackFails) endpoints.take(6).forEach { schedule(10.seconds + millis(500)) { crash(it) } }
-        while (true) {
-            val task = tasks.poll() ?: break
-            now = task.at
-            task.run()
-        }
+        time.run()
         counts.ended.merge(ended, 1, Int::plus)
     }
 
@@ -177,7 +166,7 @@
     private fun crash(endpoint: EndpointId) {
         if (!up.remove(endpoint)) return
         schedule(20.seconds) { up += endpoint }
-        val lost = running.filter { endpoint in it.chain }.sortedBy { it.fingerprint }
+        val lost = running.filter { endpoint in it.chain }
         running -= lost.toSet()
         guards.indices.forEach { index -> schedule(millis(50)) { notice(index, endpoint, lost) } }
     }
@@ -208,9 +197,7 @@
     private fun schedule(
         after: Duration,
         action: () -> Unit,
-    ) {
-        tasks += Task(now + after, order++, action)
-    }
+    ) = time.schedule(now + after, action)
 
     private companion object {
         const val SECONDS = 30
