Tell operators who said that an endpoint leaves

Cause: an endpoint that leaves for the rest of its incarnation receives no work, and the status could not say why. Change: EndpointLifecycle.leavingSources names the platform's list, the endpoint or an operator. Conclusion: no change in behaviour.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/EndpointLifecycle.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/EndpointLifecycle.kt
@@ -3,6 +3,7 @@
 import oriolespindle.core.chain.EndpointAvailability
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.time.Timestamp
+import java.util.EnumSet
 
 /**
  * Combines what the platform's list, the endpoint itself and the operators say about endpoints.
@@ -24,7 +25,7 @@
         var ownIncarnation: String? = null
         val ended = HashSet<String>()
         var listed: PlatformState? = null
-        var leaving = false
+        val leaving = EnumSet.noneOf(LeavingSource::class.java)
         var answered = false
         var drainVersion = Long.MIN_VALUE
         var drained = false
@@ -70,11 +71,11 @@
         if (incarnation != null && previous != null && incarnation != previous) {
             entry.ended += previous
             rejoin(now, entry)
-            entry.leaving = entry.listed == PlatformState.LEAVING
+            if (entry.listed == PlatformState.LEAVING) entry.leaving += LeavingSource.PLATFORM
         }
         entry.ownIncarnation = incarnation ?: previous
         entry.answered = true
-        entry.leaving = entry.leaving || draining
+        if (draining) entry.leaving += LeavingSource.ENDPOINT
     }
 
     /** Takes an operator's drain, or its withdrawal when [draining] is false; the highest [version] is in force. */
@@ -99,12 +100,18 @@
         val entry = entries[endpoint] ?: return EndpointAvailability.Down
         return when {
             entry.listed == PlatformState.GONE -> EndpointAvailability.Down
-            entry.leaving || entry.drained -> EndpointAvailability.Leaving
+            entry.leaving.isNotEmpty() || entry.drained -> EndpointAvailability.Leaving
             entry.listed == PlatformState.LIVE || entry.answered -> EndpointAvailability.Serving(weight(now, entry))
             else -> EndpointAvailability.Down
         }
     }
 
+    /** Returns who has said that [endpoint] leaves, for the status that operators see. */
+    public fun leavingSources(endpoint: EndpointId): Set<LeavingSource> {
+        val entry = entries[endpoint] ?: return emptySet()
+        return if (entry.drained) entry.leaving + LeavingSource.OPERATOR else entry.leaving.toSet()
+    }
+
     private fun listed(
         now: Timestamp,
         item: PlatformEntry,
@@ -119,7 +126,7 @@
         if (item.state == PlatformState.GONE) return gone(now, entry)
         entry.listed = item.state
         entry.goneAt = null
-        entry.leaving = entry.leaving || item.state == PlatformState.LEAVING
+        if (item.state == PlatformState.LEAVING) entry.leaving += LeavingSource.PLATFORM
     }
 
     private fun gone(
@@ -135,7 +142,7 @@
         now: Timestamp,
         entry: Entry,
     ) {
-        entry.leaving = false
+        entry.leaving.clear()
         entry.answered = false
         entry.joined = now
     }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/EndpointLifecycleTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/EndpointLifecycleTest.kt
@@ -32,6 +32,7 @@
         lifecycle.ownAnswer(start, endpoint, draining = false)
         list(6, PlatformState.LIVE)
         expectThat(state()).isEqualTo(EndpointAvailability.Leaving)
+        expectThat(lifecycle.leavingSources(endpoint)).isEqualTo(setOf(LeavingSource.ENDPOINT))
         list(8, PlatformState.GONE)
         list(7, PlatformState.LIVE)
         lifecycle.ownAnswer(start, endpoint, draining = false)
