--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/VirtualTime.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/VirtualTime.kt
@@ -22,7 +22,7 @@
         time: Timestamp,
         run: () -> Unit,
     ) {
-        steps += Step(time, order++, run)
+        steps += Step(maxOf(time, now), order++, run)
     }
 
     fun after(
@@ -39,4 +39,9 @@
         }
         now = end
     }
+
+    /** Runs until no step is left. */
+    fun runAll() {
+        while (steps.isNotEmpty()) run(steps.peek().at - now)
+    }
 }
