Test that a paused instance uses nothing until it is confirmed

Cause: with the pause limit raised to 3,000 s the random schedules still passed, because a removed instance that resumes learns of its removal before the sum is exceeded in most of them. Ruled out: longer pauses in the random schedules (they would make most of them idle). Change: two directed tests in ShareLedgerTest, one removed and one confirmed by a peer while the platform is down. Conclusion: the fence is guarded.

--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/limit/ShareLedgerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/limit/ShareLedgerTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -116,4 +117,41 @@
         expectThat(byCut / 20.0).isGreaterThan(0.9 * 200 / 3)
         expectThat(most).isLessThanOrEqualTo(2040)
     }
+
+    @Test
+    fun `a paused instance that was removed uses nothing - guards against units that two instances use`() {
+        val fleet = ShareFleet(seed = 6, size = 9, contract)
+        fleet.run(2.seconds)
+        val paused = fleet.nodes[4]
+        fleet.pause(paused)
+        fleet.declareGone(paused)
+        fleet.run(30.seconds)
+        expectThat(fleet.nodes.filter { it !== paused }.sumOf { it.ledger.holding(fleet.key) }).isEqualTo(total)
+
+        fleet.resume(paused)
+        expectThat(paused.ledger.usable(fleet.key)).isEqualTo(0)
+        fleet.platformUp = false
+        fleet.run(2.seconds)
+        expectThat(paused.isRestarting).isTrue()
+        expectThat(fleet.largestSum).isLessThanOrEqualTo(total)
+    }
+
+    @Test
+    fun `a paused instance is confirmed by a peer - guards against capacity lost while the platform is down`() {
+        val fleet = ShareFleet(seed = 7, size = 9, contract)
+        fleet.run(2.seconds)
+        fleet.platformUp = false
+        val paused = fleet.nodes[4]
+        fleet.pause(paused)
+        fleet.run(5.seconds)
+        fleet.resume(paused)
+        expectThat(paused.ledger.usable(fleet.key)).isEqualTo(0)
+
+        fleet.run(1.seconds)
+        expectThat(paused.ledger.usable(fleet.key)).isGreaterThan(100_000)
+        fleet.cutZones = fleet.nodes.mapTo(mutableSetOf()) { it.zone }
+        fleet.nodes.filter { it !== paused }.forEach(fleet::pause)
+        fleet.run(3.seconds)
+        expectThat(paused.ledger.usable(fleet.key)).describedAs("without a peer").isEqualTo(0)
+    }
 }
