--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -2,6 +2,8 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.ssl.SslContext
+import io.netty.handler.ssl.SslContextBuilder
 import kotlinx.serialization.json.JsonObject
 import oriolespindle.core.config.StoredObject
 import oriolespindle.core.contract.KeyDigest
@@ -37,6 +39,7 @@
 import oriolespindle.router.settings.Settings
 import oriolespindle.router.state.StateComponent
 import oriolespindle.router.state.StateListeners
+import java.io.File
 import java.util.concurrent.Executors
 import java.util.random.RandomGenerator
 
@@ -63,9 +66,10 @@
         LoadPoller(http, settings.loadPollInterval * POLL_TIMEOUT_FACTOR) { endpoint, answer ->
             requests.load(RequestMessage.Load(endpoint, answer))
         }
-    private val callers = HttpServer(group, observer = CallerObserver(), handler = requests::arrived)
+    private val tls = serverTls()
+    private val callers = HttpServer(group, tls = tls, observer = CallerObserver(), handler = requests::arrived)
     private val administrationApi = AdministrationApi(metrics, operators, ObjectApi(state), state, ::isReady, ::status)
-    private val administration = HttpServer(group, handler = administrationApi::handle)
+    private val administration = HttpServer(group, tls = tls, handler = administrationApi::handle)
 
     @Volatile
     private var liveInstances: Set<InstanceId> = emptySet()
@@ -188,6 +192,12 @@
         }
     }
 
+    private fun serverTls(): SslContext? {
+        val certificate = settings.tlsCertificate ?: return null
+        val key = checkNotNull(settings.tlsKey) { "a certificate was accepted without its key" }
+        return SslContextBuilder.forServer(File(certificate), File(key)).build()
+    }
+
     private fun shutdownSettings(): ShutdownSettings {
         val usual = ShutdownSettings()
         return ShutdownSettings(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ClaimedCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ClaimedCall.kt
@@ -32,6 +32,10 @@
 ) {
     private var workEnded = false
 
+    /** The last version of the claim that this call wrote, null while it has written none. */
+    var heldVersion: ClaimVersion? = null
+        private set
+
     /** Starts the call; the instance stays until the outcome is stored, which may be after the caller's answer. */
     fun start() {
         context.workStarted(work)
@@ -76,7 +80,7 @@
     private fun writeEvent(result: PlatformResult<PlatformObject>): ClaimEvent =
         when (result) {
             is PlatformResult.Ok -> {
-                ClaimEvent.WriteLanded(ClaimVersion(result.value.version))
+                landed(ClaimVersion(result.value.version))
             }
 
             // A conflict without the object tells nothing about its holder, which reading back does.
@@ -94,6 +98,11 @@
             }
         }
 
+    private fun landed(version: ClaimVersion): ClaimEvent {
+        heldVersion = version
+        return ClaimEvent.WriteLanded(version)
+    }
+
     private fun read(name: String) {
         context.platform.get(ObjectKind.CLAIM.code, name) { result ->
             context.continueWith { handle(readEvent(result)) }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -3,7 +3,6 @@
 import oriolespindle.core.chain.Chain
 import oriolespindle.core.chain.ChainChoice
 import oriolespindle.core.chain.RouteQuery
-import oriolespindle.core.crash.Admission
 import oriolespindle.core.crash.Fingerprint
 import oriolespindle.core.id.AttemptNumber
 import oriolespindle.core.id.EndpointId
@@ -55,49 +54,24 @@
     private var lastTokenAt: Timestamp? = null
     private var failedAt: Timestamp? = null
     private val fingerprint = Fingerprint.of(caller.contract.team, request.model.value, request.prompt.toByteArray())
+    private val gate = SuspectGate(context, crashes, fingerprint, isActive = { !finished })
     private var runningOn: List<EndpointId>? = null
     private var finished = false
 
     fun start() {
         recovery.admitted()
-        admitted { isolation -> choose(query, isolation) }
+        gate.admit(::quarantined) { isolation -> choose(query, isolation) }
     }
 
-    /** Endpoints that run other requests that were running at a crash. */
-    private class Isolation(
-        val avoid: Set<EndpointId>,
-        val isStrict: Boolean,
-    )
-
-    /** Calls [next] with the endpoints to avoid once the request may run, or ends a request that crashes endpoints. */
-    private fun admitted(next: (Isolation) -> Unit) {
-        if (finished) return
-        when (val admission = crashes.admit(fingerprint)) {
-            is Admission.Free -> {
-                next(Isolation(emptySet(), isStrict = false))
-            }
-
-            is Admission.Refuse -> {
-                end(quarantined())
-            }
-
-            is Admission.Isolate -> {
-                if (admission.wait > Duration.ZERO) {
-                    context.continueAfter(admission.wait) { admitted(next) }
-                } else {
-                    next(Isolation(admission.avoid, admission.strict))
-                }
-            }
-        }
-    }
-
-    private fun quarantined(): CallOutcome {
+    private fun quarantined() {
         val message = "this request was running at the crashes of several endpoints and is not sent again"
-        return if (attempt == null) {
-            CallOutcome.NotRun(RefusalReason.QUARANTINED, message)
-        } else {
-            CallOutcome.Unknown(UnknownReason.STREAM_LOST, message)
-        }
+        val outcome =
+            if (attempt == null) {
+                CallOutcome.NotRun(RefusalReason.QUARANTINED, message)
+            } else {
+                CallOutcome.Unknown(UnknownReason.STREAM_LOST, message)
+            }
+        end(outcome)
     }
 
     /**
@@ -117,7 +91,7 @@
         val isolated = selector.choose(context.now(), query.copy(avoid = query.avoid + isolation.avoid))
         val isAlone = isolated is ChainChoice.Chosen || isolation.avoid.isEmpty()
         if (!isAlone && isolation.isStrict) {
-            context.continueAfter(ISOLATION_RETRY) { admitted { choose(query, it) } }
+            context.continueAfter(ISOLATION_RETRY) { gate.admit(::quarantined) { choose(query, it) } }
             return
         }
         val choice = if (isAlone) isolated else selector.choose(context.now(), query)
@@ -371,7 +345,7 @@
     /** A request that was running at a crash is sent to a chain without other such requests, if there is one. */
     private fun sendAgain(decided: Recovery.Resume) {
         val repair = decided.repair
-        admitted { isolation ->
+        gate.admit(::quarantined) { isolation ->
             if (repair.chain.stages.none { it.endpoint in isolation.avoid }) {
                 send(repair.chain, repair.cache)
             } else {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -181,6 +181,7 @@
         if (now >= demandDue) {
             demandDue = now + DEMAND_INTERVAL
             listeners.demand(scheduler.adapt(now))
+            services.prune()
         }
         if (now >= usageDue) {
             usageDue = now + USAGE_INTERVAL
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -4,11 +4,14 @@
 import oriolespindle.core.claim.ClaimEvent
 import oriolespindle.core.claim.ClaimObject
 import oriolespindle.core.claim.ClaimOutcome
+import oriolespindle.core.claim.ClaimPruner
 import oriolespindle.core.claim.ClaimRequest
 import oriolespindle.core.claim.IdempotencyKey
 import oriolespindle.core.claim.KeyDecision
 import oriolespindle.core.claim.KeyRules
+import oriolespindle.core.claim.PrunedClaim
 import oriolespindle.core.claim.RequestDigest
+import oriolespindle.core.config.ObjectKind
 import oriolespindle.core.contract.Contract
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ServiceId
@@ -29,6 +32,7 @@
     private val isLive: (InstanceId) -> Boolean,
 ) {
     private val claims = HashSet<ClaimedCall>()
+    private val pruner = ClaimPruner(KeyRules())
 
     /** Tells the claimed calls that this process was paused, so that none sends under a claim of before. */
     fun wokeFromPause() {
@@ -133,12 +137,27 @@
                 deadline = request.deadline,
                 servers = { context.directory.servers(service) },
                 answer = { outcome -> respond(request, outcome) },
-                onFinished = { claims.remove(call) },
+                onFinished = { claimEnded(call, claim) },
             )
         claims += call
         call.start()
     }
 
+    private fun claimEnded(
+        call: ClaimedCall,
+        claim: ClaimRequest,
+    ) {
+        claims.remove(call)
+        call.heldVersion?.let { pruner.add(claim.key, PrunedClaim(claim.target, it)) }
+    }
+
+    /** Deletes claims whose keys are refused everywhere by now; a lost deletion leaves a harmless object. */
+    fun prune() {
+        for (claim in pruner.due(Clock.System.now())) {
+            context.platform.delete(ObjectKind.CLAIM.code, claim.target.name, claim.version.value) { }
+        }
+    }
+
     /** Sends a call that the caller may repeat, or that its contract lets go out once without a key. */
     private fun sendDirectly(
         request: CallerRequest,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsOptions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsOptions.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.settings
 
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.groups.OptionGroup
 import com.github.ajalt.clikt.parameters.options.NullableOption
 import com.github.ajalt.clikt.parameters.options.RawOption
@@ -79,8 +80,12 @@
 
     private val tlsKey by setting("--tls-key", "PEM file with the private key of the certificate.")
 
-    fun settings(): Settings =
-        Settings(
+    /** @throws UsageError if only one of the two TLS files is named. */
+    fun settings(): Settings {
+        if ((tlsCertificate == null) != (tlsKey == null)) {
+            throw UsageError("--tls-certificate and --tls-key must be set together")
+        }
+        return Settings(
             instance = InstanceId(instanceId),
             zone = ZoneId(zone),
             callers = callers,
@@ -97,6 +102,7 @@
             tlsCertificate = tlsCertificate,
             tlsKey = tlsKey,
         )
+    }
 
     private fun setting(
         flag: String,
