--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/ChainSelector.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/ChainSelector.kt
@@ -91,7 +91,7 @@
     ): ChainChoice {
         if (topology?.model?.id != query.model) return ChainChoice.Unavailable(RefusalReason.NO_CHAIN)
         val best =
-            spliced(now, query, query.keep).takeIf { query.keep.isNotEmpty() }
+            (if (query.keep.isEmpty()) null else spliced(now, query, query.keep))
                 ?: bestPlanned(now, query)
                 ?: spliced(now, query, emptyList())
                 ?: spliced(now, query, emptyList(), suspects = true)
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainSelectorTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainSelectorTest.kt
@@ -57,6 +57,20 @@
         expectThat(selector(pairs.take(1)).choose(start, query("q"))).isEqualTo(none)
     }
 
+    /** Guards against building a chain outside the plan, which visits all links, for every request. */
+    @Test
+    fun `a choice among planned chains looks at no other links`() {
+        var looks = 0
+        val counting = topology(twins).copy(defaultLink = { _, _ -> LinkRate(1e6, 1.milliseconds).also { looks++ } })
+        val selector = ChainSelector(InstanceId("i"), ChainSelectorSettings(), SplittableRandom(1))
+        selector.plan(start, ChainPlanner().plan(counting))
+        val planned = looks
+
+        selector.choose(start, query("q"))
+
+        expectThat(looks).isEqualTo(planned)
+    }
+
     /** Guards against new work at endpoints that leave, have failed, are suspect or are to be avoided. */
     @Test
     fun `endpoints that may receive no work are not chosen`() {
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/RoutingRun.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/RoutingRun.kt
@@ -75,17 +75,14 @@
     private var requests = 0
     private var tokens = 0L
 
-    /** Returns the tokens per second between [warmUp] and [end]. */
-    fun tokensPerSecond(
-        warmUp: Duration = 20.seconds,
-        end: Duration = 60.seconds,
-    ): Double {
+    /** Returns the tokens per second after [WARM_UP]. */
+    fun tokensPerSecond(): Double {
         streams.forEachIndexed { instance, count -> repeat(count) { start(instance) } }
         topology.endpoints.forEach { spec -> after(random.nextInt(1_000).milliseconds) { reportLoad(spec.id) } }
-        after(warmUp) { tokens = 0 }
+        after(WARM_UP) { tokens = 0 }
         while (true) {
             val event = events.remove()
-            if (event.at >= Timestamp.ZERO + end) return tokens / (end - warmUp).inWholeSeconds.toDouble()
+            if (event.at >= Timestamp.ZERO + END) return tokens / (END - WARM_UP).inWholeSeconds.toDouble()
             now = event.at
             event.action()
         }
@@ -162,5 +159,7 @@
 
     private companion object {
         val LATENCY = 500.microseconds
+        val WARM_UP = 20.seconds
+        val END = 60.seconds
     }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/SelectionFigureTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/SelectionFigureTest.kt
@@ -31,7 +31,12 @@
                 routing: (instance: Int) -> Routing,
             ) = RoutingRun(fleet, streams.indices.map(routing), streams, seed = 1).tokensPerSecond() / plan.bound
 
-            fun selecting(candidates: Int) = { instance: Int -> selectorRouting(selector(instance, plan, candidates)) }
+            fun selecting(candidates: Int) =
+                { i: Int ->
+                    val settings = ChainSelectorSettings(candidates = candidates)
+                    val selector = ChainSelector(InstanceId("i$i"), settings, SplittableRandom(100L + i))
+                    selectorRouting(selector.apply { plan(Timestamp.ZERO, plan) })
+                }
             val ours = part(streams, selecting(candidates = 4))
             val others =
                 mapOf(
@@ -55,15 +60,4 @@
             expectThat(ours).isGreaterThan(others.values.max())
         }
     }
-
-    private fun selector(
-        instance: Int,
-        plan: ChainPlan,
-        candidates: Int,
-    ): ChainSelector {
-        val settings = ChainSelectorSettings(candidates = candidates)
-        val selector = ChainSelector(InstanceId("i$instance"), settings, SplittableRandom(100L + instance))
-        selector.plan(Timestamp.ZERO, plan)
-        return selector
-    }
 }
