Keep the availability of endpoints that no plan names yet

Cause: ChainSelector dropped the availability of an endpoint that was not in the plan, so that an endpoint which joined, or returned, received full work although it was leaving or starting slowly. Change: states are kept, at most 4,096 of them, and applied with each plan.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/ChainSelector.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/chain/ChainSelector.kt
@@ -25,6 +25,7 @@
 ) {
     private val loads = HashMap<EndpointId, EndpointLoad>()
     private val links = LinkStates(settings)
+    private val availabilities = BoundedMap<EndpointId, EndpointAvailability>(REMEMBERED_STATES)
     private val inFlight = HashMap<RequestId, InFlight>()
     private val priorities = BoundedMap<RequestId, Int>(REMEMBERED_CHOICES)
     private var topology: Topology? = null
@@ -42,7 +43,11 @@
     ) {
         val specs = plan.topology.endpoints.associateBy { it.id }
         loads.keys.retainAll(specs.keys)
-        for (spec in specs.values) loads.getOrPut(spec.id) { EndpointLoad(spec, settings) }.spec = spec
+        for (spec in specs.values) {
+            val load = loads.getOrPut(spec.id) { EndpointLoad(spec, settings) }
+            load.spec = spec
+            availabilities[spec.id]?.let { load.availability = it }
+        }
         links.plan(plan.topology)
         topology = plan.topology
         candidates = plan.chains.map { candidate(it.chain, it.rate) }
@@ -68,14 +73,14 @@
         links.get(from, to).observe(now, observation.latency)
     }
 
-    /** Sets whether [endpoint] may receive new work. */
+    /** Sets whether [endpoint] may receive new work; the state is kept for when a plan names the endpoint. */
     public fun availability(
         now: Timestamp,
         endpoint: EndpointId,
         state: EndpointAvailability,
     ) {
-        val load = loads[endpoint] ?: return
-        load.availability = state
+        availabilities[endpoint] = state
+        loads[endpoint]?.availability = state
         samplerStale = true
     }
 
@@ -292,5 +297,8 @@
 
         /** Choices that were never started are forgotten beyond this number. */
         const val REMEMBERED_CHOICES = 4096
+
+        /** More than twice the 1,500 servers of the target size. */
+        const val REMEMBERED_STATES = 4096
     }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainPlannerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainPlannerTest.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.chain
 
+import org.jgrapht.Graphs
 import org.jgrapht.alg.flow.PushRelabelMFImpl
 import org.jgrapht.graph.DefaultWeightedEdge
 import org.jgrapht.graph.SimpleDirectedWeightedGraph
@@ -139,11 +140,7 @@
             from: String,
             to: String,
             capacity: Double,
-        ) {
-            graph.addVertex(from)
-            graph.addVertex(to)
-            graph.setEdgeWeight(graph.addEdge(from, to), capacity)
-        }
+        ) = Graphs.addEdgeWithVertices(graph, from, to, capacity)
         graph.addVertex("source")
         graph.addVertex("sink")
         for (e in topology.endpoints) {
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainSelectorTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainSelectorTest.kt
@@ -82,6 +82,16 @@
         repeat(100) { expectThat(id("b1") in selector().chain(query("q", avoid = setOf(id("b1"))))).isEqualTo(false) }
     }
 
+    /** Guards against work at a leaving or slowly starting endpoint whose state was known before it was planned. */
+    @Test
+    fun `a state that is set before the plan names the endpoint holds`() {
+        val selector = ChainSelector(InstanceId("i"), ChainSelectorSettings(), SplittableRandom(1))
+        selector.availability(start, id("a1"), EndpointAvailability.Leaving)
+        selector.plan(start, ChainPlanner().plan(topology(twins)))
+
+        expectThat(selector.shares()[id("a1")]).isEqualTo(null)
+    }
+
     /** Guards against refusals while a plan is outdated although available endpoints hold every layer. */
     @Test
     fun `a chain outside the plan is built when every planned chain has lost an endpoint`() {
