--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainSelectorTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/chain/ChainSelectorTest.kt
@@ -57,6 +57,20 @@
         expectThat(selector(pairs.take(1)).choose(start, query("q"))).isEqualTo(none)
     }
 
+    /** Guards against building a chain outside the plan, which visits all links, for every request. */
+    @Test
+    fun `a choice among planned chains looks at no other links`() {
+        var looks = 0
+        val counting = topology(twins).copy(defaultLink = { _, _ -> LinkRate(1e6, 1.milliseconds).also { looks++ } })
+        val selector = ChainSelector(InstanceId("i"), ChainSelectorSettings(), SplittableRandom(1))
+        selector.plan(start, ChainPlanner().plan(counting))
+        val planned = looks
+
+        selector.choose(start, query("q"))
+
+        expectThat(looks).isEqualTo(planned)
+    }
+
     /** Guards against new work at endpoints that leave, have failed, are suspect or are to be avoided. */
     @Test
     fun `endpoints that may receive no work are not chosen`() {
@@ -68,6 +82,16 @@
         repeat(100) { expectThat(id("b1") in selector().chain(query("q", avoid = setOf(id("b1"))))).isEqualTo(false) }
     }
 
+    /** Guards against work at a leaving or slowly starting endpoint whose state was known before it was planned. */
+    @Test
+    fun `a state that is set before the plan names the endpoint holds`() {
+        val selector = ChainSelector(InstanceId("i"), ChainSelectorSettings(), SplittableRandom(1))
+        selector.availability(start, id("a1"), EndpointAvailability.Leaving)
+        selector.plan(start, ChainPlanner().plan(topology(twins)))
+
+        expectThat(selector.shares()[id("a1")]).isEqualTo(null)
+    }
+
     /** Guards against refusals while a plan is outdated although available endpoints hold every layer. */
     @Test
     fun `a chain outside the plan is built when every planned chain has lost an endpoint`() {
