--- a/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/RootCommand.kt
+++ b/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/RootCommand.kt
@@ -12,6 +12,8 @@
 import com.github.ajalt.clikt.parameters.types.enum
 import java.io.InputStream
 
+/** Clikt joins the lines of a paragraph except at this character. */
+private const val LINE_BREAK = "\u0085"
 private const val VARIABLE_PREFIX = "ORIOLESPINDLE_CTL_"
 
 /** The program; [standardInput] is read where a command is given `-` in place of a file. */
@@ -40,11 +42,12 @@
         "Administers an oriolespindle fleet through the administration API of any of its instances."
 
     override fun helpEpilog(context: Context): String {
-        val codes = ExitCode.entries.joinToString("\n") { "- ${it.code}: ${it.meaning}" }
+        val codes = ExitCode.entries.joinToString("") { LINE_BREAK + "${it.code}: ${it.meaning}" }
         return "Example: `oriolespindle-ctl --address 10.0.0.7:9102 --token-file token contract list`\n\n" +
             "Example: `oriolespindle-ctl contract apply - < team-a.json`\n\n" +
             "Shell completion: `source <(oriolespindle-ctl --generate-completion=bash)`\n\n" +
-            "Exit codes:\n\n$codes"
+            "Environment: ${VARIABLE_PREFIX}ADDRESS, ${VARIABLE_PREFIX}TOKEN_FILE, ${VARIABLE_PREFIX}OUTPUT\n\n" +
+            "Exit codes:$codes"
     }
 
     override fun run() {
--- a/oriolespindle-ctl/src/test/kotlin/oriolespindle/ctl/RootCommandTest.kt
+++ b/oriolespindle-ctl/src/test/kotlin/oriolespindle/ctl/RootCommandTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import java.nio.file.Files
 import java.nio.file.Path
 
 /** Guards the requests that commands send and the exit codes that scripts rely on. */
@@ -163,6 +164,19 @@
         expectThat(help.output).contains("oriolespindle-ctl contract apply --dry-run team-a.json")
     }
 
+    @Test
+    fun `environment variables stand in for the global options`() {
+        AdministrationStub(mapOf("GET /v1/status" to StubReply(200, """{"instance":"r1"}"""))).use { stub ->
+            val token = Files.writeString(folder.resolve("token"), TOKEN).toString()
+            val variables = mapOf("ADDRESS" to stub.address, "TOKEN_FILE" to token, "OUTPUT" to "json")
+            val environment = variables.mapKeys { "ORIOLESPINDLE_CTL_${it.key}" }
+
+            val result = RootCommand.program().test("status", envvars = environment)
+
+            expectThat(result.stdout.filterNot { it.isWhitespace() }).isEqualTo("""{"instance":"r1"}""")
+        }
+    }
+
     @Test
     fun `the completion script knows the commands`() {
         val result = RootCommand.program().test("--generate-completion=bash")
