--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/ObjectApi.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/administration/ObjectApi.kt
@@ -242,7 +242,9 @@
         private const val NOT_WRITTEN = "the platform cannot be reached; nothing was changed"
         private const val UNCERTAIN = "no answer of the platform tells whether the change landed; read the object again"
         private val OPERATED = setOf(ObjectKind.DRAIN, ObjectKind.ORDER)
-        private val ADMINISTERED =
+
+        /** The kinds that operators read and change. */
+        val ADMINISTERED: Set<ObjectKind> =
             OPERATED +
                 setOf(
                     ObjectKind.CONTRACT,
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/documentation/OperationsPageTest.kt
@@ -0,0 +1,48 @@
+package oriolespindle.router.documentation
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.outcome.RefusalReason
+import oriolespindle.core.outcome.RetryReason
+import oriolespindle.core.outcome.UnknownReason
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isNotBlank
+
+/** Guards against a code in answers and counters for which docs/operations.md has no row, and rows without a code. */
+class OperationsPageTest {
+    private val page = DocumentationPage("operations.md")
+
+    @Test
+    fun `every refusal reason has one complete row`() {
+        expectRows("Refusals", RefusalReason.entries.map { it.code })
+    }
+
+    @Test
+    fun `every unknown reason has one complete row`() {
+        expectRows("Unknown outcomes", UnknownReason.entries.map { it.code })
+    }
+
+    @Test
+    fun `every retry reason has one complete row`() {
+        expectRows("Retries", RetryReason.entries.map { it.code })
+    }
+
+    private fun expectRows(
+        section: String,
+        codes: List<String>,
+    ) {
+        val rows = page.rows(section)
+        expectThat(rows.map { it[0].trim('`') }).containsExactly(codes)
+        expectThat(rows).all {
+            hasSize(COLUMNS)
+            all { isNotBlank() }
+        }
+    }
+
+    private companion object {
+        /** Code, symptom, cause, what to do. */
+        const val COLUMNS = 4
+    }
+}
