--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/OrderProcessTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/OrderProcessTest.kt
@@ -14,7 +14,8 @@
     @Test
     fun `of two orders for one engine the newer one is carried out and the other is reported as superseded`() {
         val tokenFile = createTempFile().also { it.writeText(TOKEN) }
-        TestFleet(enginesPerRange = 1, routerFlags = listOf("--operator-token-file", tokenFile.toString())).use { fleet ->
+        val flags = listOf("--operator-token-file", tokenFile.toString())
+        TestFleet(enginesPerRange = 1, routerFlags = flags).use { fleet ->
             val first = put(fleet, 0, "first", "prefill")
             val second = put(fleet, 1, "second", "decode")
 
