--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/SuspectGate.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/SuspectGate.kt
@@ -18,7 +18,7 @@
     private val fingerprint: Fingerprint,
     private val isActive: () -> Boolean,
 ) {
-    /** Calls [next], now or after a wait, with the endpoints to avoid, or [refused] for a request that causes crashes. */
+    /** Calls [next], now or later, with the endpoints to avoid, or [refused] for a request that causes crashes. */
     fun admit(
         refused: () -> Unit,
         next: (Isolation) -> Unit,
