Report what each team used and why it was refused; refuse ambiguous framing; wake components at once

Cause: the operators' limits command had no use of a team to show. Netty removes Content-Length from a request that also has chunks, so that the check for ambiguous framing never saw both. A message offered while its component parked could wait for the park's end of 50 ms, since the ring buffer publishes without a full fence. Ruled out: a label for the team on the counters, which would not be bounded.

--- a/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/StatusCommands.kt
+++ b/oriolespindle-ctl/src/main/kotlin/oriolespindle/ctl/StatusCommands.kt
@@ -4,10 +4,8 @@
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import kotlinx.serialization.json.putJsonArray
 
 private fun JsonElement?.field(name: String): JsonElement? = (this as? JsonObject)?.get(name)
 
@@ -77,7 +75,7 @@
             put("inForce", faults.isEmpty())
             put("limits", limits(contract))
             put("faults", JsonArray(faults))
-            putJsonArray("notAvailable") { NOT_AVAILABLE.forEach { add(it) } }
+            put("use", use(status) ?: JsonObject(emptyMap()))
         }
 
     private fun text(
@@ -100,15 +98,19 @@
                     listOf(name, value.cell())
                 },
             )
-        val missing = NOT_AVAILABLE.joinToString("\n") { "$it: not available from the administration API" }
-        return "$force\n\n$table\n\n$missing"
+        return "$force\n\n$table\n\n${useText(status)}"
     }
 
-    private fun limits(contract: StoredItem): JsonObject =
-        JsonObject(contract.value.filterKeys { it != "team" && it != "keyDigests" })
+    private fun use(status: JsonObject): JsonObject? = status["requests"].field("teams").field(team) as? JsonObject
 
-    private companion object {
-        /** The status counts no requests by team, and the refusal counters have no team label. */
-        val NOT_AVAILABLE = listOf("use of the team", "refusals of the team")
+    private fun useText(status: JsonObject): String {
+        val instance = status["instance"].cell()
+        val use = use(status) ?: return "no request of the team since instance $instance started"
+        val refusals = (use["refusals"] as? JsonObject).orEmpty().map { (reason, count) -> "$reason ${count.cell()}" }
+        return "since instance $instance started: ${use["done"].cell()} requests done, " +
+            "${use["tokens"].cell()} tokens, refused: ${refusals.joinToString(", ").ifEmpty { "none" }}"
     }
+
+    private fun limits(contract: StoredItem): JsonObject =
+        JsonObject(contract.value.filterKeys { it != "team" && it != "keyDigests" })
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/order/OrderComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/order/OrderComponent.kt
@@ -208,7 +208,7 @@
 
         /** A few instances read the lease object, so that one is left when others are replaced. */
         const val CANDIDATES = 3
-        val TICK: Duration = 100.milliseconds
+        val TICK: Duration = 250.milliseconds
         val RING_RETRY: Duration = 2.milliseconds
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CallerApi.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CallerApi.kt
@@ -3,6 +3,7 @@
 import oriolespindle.core.contract.Contract
 import oriolespindle.core.contract.KeyDigest
 import oriolespindle.core.id.RequestId
+import oriolespindle.core.id.TeamId
 import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.time.Timestamp
@@ -29,18 +30,18 @@
         val id = context.nextRequestId()
         val contract = authenticate(exchange)
         if (contract == null) {
-            refuse(id, exchange, RefusalReason.UNKNOWN_CREDENTIAL, "the request has no valid bearer key")
+            refuse(id, exchange, null, RefusalReason.UNKNOWN_CREDENTIAL, "the request has no valid bearer key")
             return
         }
         if (exchange.body.size > contract.maximumBodyBytes) {
             val message = "the body has ${exchange.body.size} bytes, the contract allows ${contract.maximumBodyBytes}"
-            refuse(id, exchange, RefusalReason.BODY_TOO_LARGE, message)
+            refuse(id, exchange, contract.team, RefusalReason.BODY_TOO_LARGE, message)
             return
         }
         val limit = deadline(exchange, contract)
         if (limit == null) {
             val message = "$DEADLINE_HEADER must be a number of milliseconds from 1"
-            refuse(id, exchange, RefusalReason.MALFORMED_REQUEST, message)
+            refuse(id, exchange, contract.team, RefusalReason.MALFORMED_REQUEST, message)
             return
         }
         val now = context.now()
@@ -61,7 +62,7 @@
 
             else -> {
                 val message = "${exchange.method} ${exchange.path} is not part of this interface"
-                refuse(request.id, exchange, RefusalReason.MALFORMED_REQUEST, message)
+                refuse(request.id, exchange, request.contract.team, RefusalReason.MALFORMED_REQUEST, message)
             }
         }
     }
@@ -85,10 +86,11 @@
     private fun refuse(
         id: RequestId,
         exchange: ServerExchange,
+        team: TeamId?,
         reason: RefusalReason,
         message: String,
     ) {
-        context.metrics.refused(reason)
+        context.refused(team, reason)
         exchange.respond(Answers.notRun(id, CallOutcome.NotRun(reason, message)))
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -176,6 +176,7 @@
         gaps?.let { gapCheckDue = it.nextCheck(now) }
         measure(now)
         context.metrics.tokensDelivered(tokens.size)
+        context.use.tokens(caller.contract.team, tokens.size)
         responder.tokens(tokens)
     }
 
@@ -192,7 +193,7 @@
     }
 
     private fun complete(count: Int) {
-        context.metrics.done()
+        context.done(caller.contract.team)
         responder.complete(count)
         call = null
         abandonAttempt(complete = true)
@@ -367,7 +368,7 @@
 
     private fun end(outcome: CallOutcome) {
         when (outcome) {
-            is CallOutcome.NotRun -> context.metrics.refused(outcome.reason)
+            is CallOutcome.NotRun -> context.refused(caller.contract.team, outcome.reason)
             is CallOutcome.Unknown -> context.metrics.unknown(outcome.reason)
             is CallOutcome.Done -> error("a successful request has no failure")
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
@@ -71,7 +71,7 @@
         caller: CallerRequest,
         outcome: CallOutcome.NotRun,
     ) {
-        context.metrics.refused(outcome.reason)
+        context.refused(caller.contract.team, outcome.reason)
         caller.exchange.respond(Answers.notRun(caller.id, outcome))
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -58,6 +58,7 @@
 
     private var configured = false
     private var availability = emptyMap<EndpointId, EndpointAvailability>()
+    private var availabilityDue = Timestamp(Long.MIN_VALUE)
     private var demandDue = Timestamp(Long.MIN_VALUE)
     private var usageDue = Timestamp(Long.MIN_VALUE)
 
@@ -187,7 +188,10 @@
             usageDue = now + USAGE_INTERVAL
             listeners.used(admission.usage())
         }
-        updateAvailability(now)
+        if (now >= availabilityDue) {
+            availabilityDue = now + AVAILABILITY_INTERVAL
+            updateAvailability(now)
+        }
     }
 
     /** Passes on the states of engines that changed; a selector samples anew after each change. */
@@ -203,6 +207,7 @@
     }
 
     private fun tellContracts() {
+        context.use.retain(context.contracts.contracts().mapTo(HashSet()) { it.team })
         listeners.contracts(context.contracts.contracts().map { TeamSlots(it.team, it.concurrency) })
     }
 
@@ -232,6 +237,7 @@
         const val RING_CAPACITY = 16_384
         val TICK = 20.milliseconds
 
+        val AVAILABILITY_INTERVAL = 100.milliseconds
         val DEMAND_INTERVAL = 200.milliseconds
 
         /** The ledger bases transfers on the usage of the last second, so ten reports in it are enough. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
@@ -3,7 +3,9 @@
 import oriolespindle.core.contract.ContractBook
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.RequestId
+import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.directory.Directory
 import oriolespindle.router.http.HttpClient
@@ -32,6 +34,7 @@
 ) {
     val directory: Directory = Directory()
     val contracts: ContractBook = ContractBook()
+    val use: TeamUse = TeamUse()
     private var requests = 0L
 
     fun now(): Timestamp = monotonicNow()
@@ -41,6 +44,21 @@
         return RequestId("${instance.value}-${requests.toString(ID_RADIX)}")
     }
 
+    /** Counts a refusal; [team] is null for a request without a valid key. */
+    fun refused(
+        team: TeamId?,
+        reason: RefusalReason,
+    ) {
+        metrics.refused(reason)
+        if (team != null) use.refused(team, reason)
+    }
+
+    /** Counts a request of [team] whose whole answer was delivered. */
+    fun done(team: TeamId) {
+        metrics.done()
+        use.done(team)
+    }
+
     /** Runs [block] on the request component's thread, after a wait while its ring buffer is full. */
     fun continueWith(block: () -> Unit) {
         post(RequestMessage.Continue(block))
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestStatus.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestStatus.kt
@@ -5,7 +5,6 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
-import kotlinx.serialization.json.putJsonObject
 
 /** Describes the request component to operators. */
 internal object RequestStatus {
@@ -42,6 +41,7 @@
                     }
                 }
             }
-            putJsonObject("teams") { put("contracts", context.contracts.contracts().size) }
+            put("contracts", context.contracts.contracts().size)
+            put("teams", context.use.report())
         }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -230,7 +230,7 @@
         contentType: String?,
         extra: List<Pair<String, String>>,
     ) {
-        context.metrics.done()
+        context.done(request.contract.team)
         val headers = Answers.headers(request.id, "done") + extra
         request.exchange.respond(HttpAnswer(status, body, contentType ?: "application/octet-stream", headers))
     }
@@ -256,7 +256,7 @@
         request: CallerRequest,
         outcome: CallOutcome.NotRun,
     ) {
-        context.metrics.refused(outcome.reason)
+        context.refused(request.contract.team, outcome.reason)
         request.exchange.respond(Answers.notRun(request.id, outcome))
     }
 
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/TeamUse.kt
@@ -0,0 +1,57 @@
+package oriolespindle.router.request
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.outcome.RefusalReason
+import java.util.EnumMap
+
+/** What each team with a contract has used at this instance since its start, and why it was refused. */
+internal class TeamUse {
+    private class Counts {
+        var done = 0L
+        var tokens = 0L
+        val refusals = EnumMap<RefusalReason, Long>(RefusalReason::class.java)
+    }
+
+    private val teams = HashMap<TeamId, Counts>()
+
+    fun done(team: TeamId) {
+        counts(team).done++
+    }
+
+    fun tokens(
+        team: TeamId,
+        count: Int,
+    ) {
+        counts(team).tokens += count
+    }
+
+    fun refused(
+        team: TeamId,
+        reason: RefusalReason,
+    ) {
+        counts(team).refusals.merge(reason, 1, Long::plus)
+    }
+
+    /** Forgets the teams that are not in [contracted], so that memory is bounded by the contracts. */
+    fun retain(contracted: Set<TeamId>) {
+        teams.keys.retainAll(contracted)
+    }
+
+    /** Returns the counts by team, in the order of names. */
+    fun report(): JsonObject =
+        buildJsonObject {
+            teams.entries.sortedBy { it.key.value }.forEach { (team, counts) ->
+                putJsonObject(team.value) {
+                    put("done", counts.done)
+                    put("tokens", counts.tokens)
+                    putJsonObject("refusals") { counts.refusals.forEach { (reason, n) -> put(reason.code, n) } }
+                }
+            }
+        }
+
+    private fun counts(team: TeamId): Counts = teams.getOrPut(team) { Counts() }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/Component.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/Component.kt
@@ -2,6 +2,7 @@
 
 import org.jctools.queues.MpscArrayQueue
 import org.tinylog.kotlin.Logger
+import java.lang.invoke.VarHandle
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.locks.LockSupport
 
@@ -32,6 +33,9 @@
     /** Adds [message] and returns true, or returns false when the ring buffer is full. */
     fun offer(message: M): Boolean {
         if (!ring.offer(message)) return false
+        // The ring buffer publishes without a full fence. Without this one, a thread that parks at the same time could
+        // miss the message until its park times out.
+        VarHandle.fullFence()
         if (parked.get()) LockSupport.unpark(thread)
         return true
     }
@@ -72,7 +76,7 @@
     }
 
     private companion object {
-        const val PARK_NANOS = 50_000_000L
+        const val PARK_NANOS = 500_000_000L
         const val EXIT_BROKEN_INVARIANT = 70
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -89,7 +89,6 @@
     /** Whether the first configuration was handed on; it is also handed on when it has no objects. */
     private var published = false
     private var registerDue = Timestamp(Long.MIN_VALUE)
-    private var shareTickDue = Timestamp(Long.MIN_VALUE)
 
     /** The revision up to which this instance has every change. */
     @Volatile
@@ -205,10 +204,7 @@
         flush()
         configuration.tick(now)
         fleet.tick(now)
-        if (now >= shareTickDue) {
-            shareTickDue = now + SHARE_TICK
-            shares.tick(now)
-        }
+        shares.tick(now)
         if (!listing && now >= listDue) {
             listing = true
             listDue = now + LIST_INTERVAL
@@ -293,8 +289,9 @@
 
     private companion object {
         const val RING_CAPACITY = 4_096
-        val TICK: Duration = 50.milliseconds
-        val SHARE_TICK: Duration = 100.milliseconds
+
+        /** The share ledger expects about ten ticks a second; a gap of more than 3 s counts as a pause. */
+        val TICK: Duration = 100.milliseconds
         val RING_RETRY: Duration = 2.milliseconds
         val LIST_INTERVAL: Duration = 1.seconds
         val REGISTER_RETRY: Duration = 1.seconds
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
@@ -0,0 +1,134 @@
+package oriolespindle.router.http
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.lifecycle.BeforeContainer
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.startsWith
+import java.io.IOException
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Guards the listeners against requests that are malformed, framed ambiguously, too large or too slow. */
+class HttpServerTest {
+    @Test
+    fun `a request with a length and chunks is refused and its connection closed`() {
+        val head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        val reply = exchange(head + "0\r\n\r\n" + GET)
+
+        expectThat(reply).startsWith("HTTP/1.1 400").contains("malformed_request")
+        expectThat(reply.contains(HANDLED)).isFalse()
+    }
+
+    @Test
+    fun `a request with two lengths is refused`() {
+        val reply = exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab")
+
+        expectThat(reply).startsWith("HTTP/1.1 400")
+    }
+
+    @Test
+    fun `an encoding that this listener does not know is refused`() {
+        val reply = exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n")
+
+        expectThat(reply).startsWith("HTTP/1.1 400")
+    }
+
+    @Test
+    fun `a body above the limit is refused before it is read`() {
+        val reply = exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
+
+        expectThat(reply).startsWith("HTTP/1.1 413").contains("body_too_large")
+    }
+
+    @Test
+    fun `chunks that add up to more than the limit are refused`() {
+        val chunk = "400\r\n" + "x".repeat(0x400) + "\r\n"
+        val reply = exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(8))
+
+        expectThat(reply).startsWith("HTTP/1.1 413")
+    }
+
+    @Test
+    fun `headers above the limit are refused`() {
+        val reply = exchange("GET / HTTP/1.1\r\nHost: a\r\nX-Long: ${"x".repeat(20_000)}\r\n\r\n")
+
+        expectThat(reply).startsWith("HTTP/1.1 400")
+    }
+
+    @Test
+    fun `a connection whose request never ends is closed and others are served`() {
+        open().use { slow ->
+            slow.getOutputStream().write("POST / HTTP/1.1\r\nHost: a\r\nContent-".toByteArray())
+            expectThat(exchange(GET)).contains(HANDLED)
+
+            expectThat(slow.getInputStream().read()).isEqualTo(END)
+        }
+    }
+
+    @Test
+    fun `two requests sent together are answered in order`() {
+        expectThat(Regex(HANDLED).findAll(exchange(GET + CLOSING_GET)).count()).isEqualTo(2)
+    }
+
+    @Property(tries = 200, seed = "4711")
+    fun `arbitrary bytes neither stop the listener nor reach the handler as a request`(
+        @ForAll bytes: ByteArray,
+    ) {
+        val before = handled.get()
+        exchange(bytes)
+
+        expectThat(handled.get()).isEqualTo(before)
+        expectThat(exchange(CLOSING_GET)).contains(HANDLED)
+    }
+
+    private fun exchange(text: String): String = exchange(text.toByteArray())
+
+    /** Sends [bytes], ends the sending side and returns what the server sent until it closed. */
+    private fun exchange(bytes: ByteArray): String =
+        open().use { socket ->
+            try {
+                socket.getOutputStream().write(bytes)
+                socket.shutdownOutput()
+                socket.getInputStream().readAllBytes().decodeToString()
+            } catch (_: IOException) {
+                // The server has reset the connection, which is an answer to a flood.
+                ""
+            }
+        }
+
+    private fun open(): Socket = Socket(address.host, address.port).apply { soTimeout = READ_LIMIT_MILLIS }
+
+    private companion object {
+        const val GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        const val CLOSING_GET = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        const val HANDLED = "it was handled"
+        const val END = -1
+        const val READ_LIMIT_MILLIS = 60_000
+        val handled = AtomicInteger()
+        private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        private val settings =
+            HttpServerSettings(maxBodyBytes = 4_096, requestTimeout = 500.milliseconds, idleTimeout = 500.milliseconds)
+        lateinit var address: Address
+
+        @JvmStatic
+        @BeforeAll
+        @BeforeContainer
+        fun start() {
+            val server =
+                HttpServer(group, settings) { exchange ->
+                    handled.incrementAndGet()
+                    exchange.respond(HttpAnswer.json(200, HANDLED))
+                }
+            address = server.bind(Address("127.0.0.1", 0))
+        }
+    }
+}
