Return to Netty's server codec

With the decoder's override taken out, the test of a request with a length and chunks still passes: Netty 4.2 refuses or keeps both headers by itself, and the listener answers 400. Ruled out: keeping the override, which guards against nothing that a test shows. Change: the override and the own handling of HEAD are reverted; the tests of the listener stay. Conclusion: the library's codec is enough.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -10,9 +10,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpRequestDecoder
-import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.util.concurrent.atomic.AtomicLong
@@ -89,8 +87,7 @@
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 timeouts(),
-                StrictRequestDecoder(config),
-                HttpResponseEncoder(),
+                HttpServerCodec(config),
                 RequestAssembler(settings.maxBodyBytes),
                 ServerExchangeHandler({ closing }, handler),
             )
@@ -112,15 +109,3 @@
         const val MAX_INITIAL_LINE = 8 * 1024
     }
 }
-
-/**
- * Leaves both framing headers of a request in place when it has both.
- *
- * Netty removes `Content-Length` then, and [RequestAssembler] could not refuse a request that another server in front
- * may have framed differently.
- */
-private class StrictRequestDecoder(
-    config: HttpDecoderConfig,
-) : HttpRequestDecoder(config) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = Unit
-}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -75,10 +75,12 @@
     /** Sends a whole answer; later calls are ignored. */
     fun respond(answer: HttpAnswer) {
         if (!end()) return
-        // An answer to HEAD has the headers of one to GET and no body.
-        val content = if (method == "HEAD") Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(answer.body)
         val response =
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status), content)
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status),
+                Unpooled.wrappedBuffer(answer.body),
+            )
         HttpUtil.setContentLength(response, answer.body.size.toLong())
         if (answer.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
         answer.headers.forEach { (name, value) -> response.headers().add(name, value) }
