--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/contract/ContractCodec.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/contract/ContractCodec.kt
@@ -28,8 +28,13 @@
     private const val MAXIMUM_QUEUE = 100_000
     private const val MAXIMUM_PRIORITY = 9
 
-    // Memory for each request is bounded, and a body is held until its endpoint has taken it.
-    private const val MAXIMUM_BODY = 64 * 1024 * 1024
+    /**
+     * The largest body that a contract may allow, in bytes.
+     *
+     * Listeners take no larger one: a body is held until its endpoint has taken it, and memory has to be bounded before
+     * a request is known to belong to a team.
+     */
+    public const val MAXIMUM_BODY: Int = 1024 * 1024
 
     // Retries of all teams stay within 10% of load only if those of each team do.
     private const val MAXIMUM_RETRY_BUDGET = 0.1
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -13,13 +13,14 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
+import oriolespindle.core.contract.ContractCodec
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Limits of one listener; they protect the process before a request is known to belong to a team. */
 internal data class HttpServerSettings(
-    val maxBodyBytes: Int = 1_048_576,
+    val maxBodyBytes: Int = ContractCodec.MAXIMUM_BODY,
     val maxHeaderBytes: Int = 16_384,
     val maxConnections: Int = 4_096,
     val requestTimeout: Duration = 10.seconds,
