Release the slots of callers that left early, apply the contract's retry budget, survive topologies without a plan

A call that was held for units while its caller closed the connection kept its concurrency slot for ever, because the action was set after the connection had ended. The retry budget of a contract was read and never used. A topology that the planner refuses left the instance unready for ever. Ruled out: settling the permit where it is taken, since the answer may still be on its way. Change: whenAnswered calls an action that comes late; the ratio of a team's budget is the lower of the contract's and the policy's; a refused topology is logged and keeps the last good plan. Fully qualified names are imports. Conclusion: the refused topology has no test of the running process.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryBudget.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryBudget.kt
@@ -11,6 +11,7 @@
  */
 internal class RetryBudget(
     private val settings: RetrySettings,
+    private val ratio: () -> Double = { settings.ratio },
 ) {
     private val slotNanos = settings.window.inWholeNanoseconds / SLOTS
     private val admitted = IntArray(SLOTS)
@@ -21,7 +22,7 @@
     fun admitted(now: Timestamp) {
         advance(now)
         admitted[index()]++
-        credit = minOf(1.0, credit + settings.ratio)
+        credit = minOf(1.0, credit + ratio())
     }
 
     fun allows(
@@ -29,7 +30,7 @@
         cost: Double,
     ): Boolean {
         advance(now)
-        val share = settings.ratio * admitted.sum()
+        val share = ratio() * admitted.sum()
         return if (share >= 1) retried.sum() + cost <= share + ROUNDING else credit >= cost - ROUNDING
     }
 
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/retry/RetryPolicy.kt
@@ -24,11 +24,14 @@
  * }
  * ```
  *
+ * [teamRatio] is the retry budget of a team's contract, which can only lower the ratio of [settings].
+ *
  * [jitter] returns a number from 0 up to 1 and spreads waits, so that callers do not come back together.
  */
 public class RetryPolicy(
     private val settings: RetrySettings = RetrySettings(),
     private val jitter: () -> Double = { 0.5 },
+    private val teamRatio: (TeamId) -> Double = { settings.ratio },
 ) {
     private val teams = HashMap<TeamId, RetryBudget>()
     private val services = HashMap<ServiceId, RetryBudget>()
@@ -104,7 +107,10 @@
             else -> UnknownReason.ENDPOINT_LOST
         }
 
-    private fun budget(team: TeamId) = teams.getOrPut(team) { RetryBudget(settings) }
+    private fun budget(team: TeamId) =
+        teams.getOrPut(team) {
+            RetryBudget(settings) { minOf(settings.ratio, teamRatio(team)) }
+        }
 
     private fun budget(service: ServiceId) = services.getOrPut(service) { RetryBudget(settings) }
 
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/retry/RetryPolicyTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/retry/RetryPolicyTest.kt
@@ -154,6 +154,16 @@
         expectThat(decisions.count { it is RetryDecision.Retry }).isEqualTo(STREAMS / 3)
     }
 
+    @Test
+    fun `guards against retries above the budget of a team's contract`() {
+        val policy = RetryPolicy(teamRatio = { 0.01 })
+        repeat(STREAMS) { policy.admitted(start, failure.team, failure.service) }
+
+        val decisions = (1..STREAMS).map { policy.decide(start, failure) }
+
+        expectThat(decisions.count { it is RetryDecision.Retry }).isEqualTo(1)
+    }
+
     private companion object {
         const val STREAMS = 99
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.GlobalEventExecutor
 import java.util.concurrent.TimeUnit
 
 /** A request in progress. */
@@ -87,7 +88,7 @@
 
     private fun scheduleRedelivery() {
         if (redeliveryScheduled) return
-        val loop = channel?.eventLoop() ?: io.netty.util.concurrent.GlobalEventExecutor.INSTANCE
+        val loop = channel?.eventLoop() ?: GlobalEventExecutor.INSTANCE
         redeliveryScheduled = true
         loop.schedule(::redeliver, REDELIVERY_MILLIS, TimeUnit.MILLISECONDS)
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
 import oriolespindle.core.contract.ContractCodec
+import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -60,7 +61,7 @@
                 .sync()
                 .channel()
         listener = channel
-        val bound = channel.localAddress() as java.net.InetSocketAddress
+        val bound = channel.localAddress() as InetSocketAddress
         return Address(address.host, bound.port)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicReference
 
 /** A complete answer. */
 internal class HttpAnswer(
@@ -42,6 +43,7 @@
     private val head = request.head
     private val keepAlive = HttpUtil.isKeepAlive(head)
     private val ended = AtomicBoolean(false)
+    private val answered = AtomicReference<(() -> Unit)?>()
 
     val method: String = head.method().name()
     val uri: String = head.uri()
@@ -53,10 +55,6 @@
     @Volatile
     var onClosed: () -> Unit = {}
 
-    /** Called once, by the thread that ends the answer or finds its connection closed. */
-    @Volatile
-    var onAnswered: () -> Unit = {}
-
     /** Called on an event loop thread when the connection's write buffer fills or drains. */
     @Volatile
     var onWritable: (Boolean) -> Unit = {}
@@ -66,6 +64,13 @@
 
     val isWritable: Boolean get() = ctx.channel().isWritable
 
+    /** Calls [action] once, when the answer is complete or its connection closed. */
+    fun whenAnswered(action: () -> Unit) {
+        answered.set(action)
+        // The connection may have closed before; whoever takes the action out of the reference calls it.
+        if (ended.get()) answered.getAndSet(null)?.invoke()
+    }
+
     fun header(name: String): String? = head.headers().get(name)
 
     fun headerNames(): Set<String> = head.headers().names()
@@ -120,7 +125,7 @@
 
     private fun end(): Boolean {
         val first = ended.compareAndSet(false, true)
-        if (first) onAnswered()
+        if (first) answered.getAndSet(null)?.invoke()
         return first
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ModelRoutes.kt
@@ -63,11 +63,20 @@
         generations[model] = generation
         pendingPlans++
         planning.execute {
-            val plan = ChainPlanner().plan(topology)
+            val plan = planOrNull(topology)
             post { take(now(), model, generation, plan) }
         }
     }
 
+    /** Returns no plan for rates that the planner refuses, so that the last good plan stays in use. */
+    private fun planOrNull(topology: Topology): ChainPlan? =
+        try {
+            ChainPlanner().plan(topology)
+        } catch (e: IllegalArgumentException) {
+            EventLog.warn("model cannot be planned", "model" to topology.model.id, "cause" to e.message)
+            null
+        }
+
     fun remove(model: ModelId) {
         generations[model] = (generations[model] ?: 0) + 1
         selectors.remove(model)
@@ -78,10 +87,10 @@
         now: Timestamp,
         model: ModelId,
         generation: Int,
-        plan: ChainPlan,
+        plan: ChainPlan?,
     ) {
         pendingPlans--
-        if (generations[model] == generation) use(now, model, plan)
+        if (plan != null && generations[model] == generation) use(now, model, plan)
         onPlanned()
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -49,7 +49,7 @@
     private val context = createContext(component::offer)
     private val routes = createRoutes(context, ::planned)
     private val endpoints = EndpointStates(context.directory)
-    private val retries = RetryPolicy(jitter = jitter)
+    private val retries = RetryPolicy(jitter = jitter, teamRatio = ::teamRetryRatio)
     private val admission = Admission(context)
     private val scheduler = FairScheduler(context, routes)
     private val completions = Completions(context, routes, endpoints, retries, admission, scheduler, listeners.evidence)
@@ -206,6 +206,8 @@
         availability = states
     }
 
+    private fun teamRetryRatio(team: TeamId): Double = context.contracts.contract(team)?.retryBudget ?: 0.0
+
     private fun tellContracts() {
         context.use.retain(context.contracts.contracts().mapTo(HashSet()) { it.team })
         listeners.contracts(context.contracts.contracts().map { TeamSlots(it.team, it.concurrency) })
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -22,6 +22,7 @@
 import oriolespindle.router.http.HttpAnswer
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Instant
 
 /** Calls to plain services. */
 internal class ServiceCalls(
@@ -70,13 +71,13 @@
             caller = request,
             cost = TokenCost.NONE,
             admitted = { permit ->
-                request.exchange.onAnswered = {
+                request.exchange.whenAnswered {
                     context.continueWith { admission.settle(permit, TokenCost.NONE) }
                 }
-                if (isNonIdempotent) {
-                    nonIdempotent(request, service, uri)
-                } else {
-                    sendDirectly(request, service, uri, idempotent = true)
+                when {
+                    request.exchange.isEnded -> Unit
+                    isNonIdempotent -> nonIdempotent(request, service, uri)
+                    else -> sendDirectly(request, service, uri, idempotent = true)
                 }
             },
             refused = { outcome -> notRun(request, outcome) },
@@ -109,7 +110,7 @@
         key: IdempotencyKey,
         service: ServiceId,
         uri: String,
-        arrived: kotlin.time.Instant,
+        arrived: Instant,
     ): ClaimRequest =
         ClaimRequest(
             request = request.id,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
@@ -5,6 +5,7 @@
 import oriolespindle.router.directory.ServiceEndpoint
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.FailureKind
 import oriolespindle.router.http.ServerExchange
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
@@ -140,7 +141,7 @@
 
     private fun failed(event: ClientEvent.Failed): ServiceResult =
         if (event.sent) {
-            ServiceResult.Lost(event.kind == oriolespindle.router.http.FailureKind.TIMEOUT)
+            ServiceResult.Lost(event.kind == FailureKind.TIMEOUT)
         } else {
             ServiceResult.NotSent
         }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
@@ -14,6 +14,8 @@
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -79,6 +81,18 @@
         expectThat(Regex(HANDLED).findAll(exchange(GET + CLOSING_GET)).count()).isEqualTo(2)
     }
 
+    @Test
+    fun `an action that is set after the connection closed is still called, so that no permit leaks`() {
+        open().use { it.getOutputStream().write("GET /kept HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray()) }
+        val exchange = kept.poll(READ_LIMIT_MILLIS.toLong(), TimeUnit.MILLISECONDS)
+        while (!exchange.isEnded) Thread.sleep(POLL_MILLIS)
+        var calls = 0
+
+        exchange.whenAnswered { calls++ }
+
+        expectThat(calls).isEqualTo(1)
+    }
+
     @Property(tries = 200, seed = "4711")
     fun `arbitrary bytes neither stop the listener nor reach the handler as a request`(
         @ForAll bytes: ByteArray,
@@ -113,7 +127,9 @@
         const val HANDLED = "it was handled"
         const val END = -1
         const val READ_LIMIT_MILLIS = 60_000
+        const val POLL_MILLIS = 5L
         val handled = AtomicInteger()
+        val kept = LinkedBlockingQueue<ServerExchange>()
         private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         private val settings =
             HttpServerSettings(maxBodyBytes = 4_096, requestTimeout = 500.milliseconds, idleTimeout = 500.milliseconds)
@@ -126,7 +142,13 @@
             val server =
                 HttpServer(group, settings) { exchange ->
                     handled.incrementAndGet()
-                    exchange.respond(HttpAnswer.json(200, HANDLED))
+                    if (exchange.path ==
+                        "/kept"
+                    ) {
+                        kept.add(exchange)
+                    } else {
+                        exchange.respond(HttpAnswer.json(200, HANDLED))
+                    }
                 }
             address = server.bind(Address("127.0.0.1", 0))
         }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/ConfigurationProcessTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/ConfigurationProcessTest.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.process
 
 import org.junit.jupiter.api.Test
+import oriolespindle.testkit.AnswerLoss
 import oriolespindle.testkit.http.TestClient
 import oriolespindle.testkit.http.TestReply
 import oriolespindle.testkit.platform.PlatformFault
@@ -65,7 +66,7 @@
     @Test
     fun `a change whose answer was lost is accepted after reading back`() {
         withFleet { fleet ->
-            fleet.platform.inject(PlatformFault.LoseAnswers(oriolespindle.testkit.AnswerLoss(next = 1)))
+            fleet.platform.inject(PlatformFault.LoseAnswers(AnswerLoss(next = 1)))
 
             val created = fleet.put(0, "contract/team-b", contract(), "If-None-Match" to "*")
 
