--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Admission.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Admission.kt
@@ -7,13 +7,15 @@
 import oriolespindle.core.limit.TokenCost
 import oriolespindle.core.limit.UsageReport
 import oriolespindle.core.outcome.CallOutcome
+import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Admits requests up to this instance's shares of their contracts.
  *
- * A request that only lacks units, which peers are being asked for, is held for a short while instead of refused.
+ * A request that only lacks units, which peers are being asked for, or valid shares after a pause, is held for a short
+ * while instead of refused.
  */
 internal class Admission(
     private val context: RequestContext,
@@ -82,7 +84,9 @@
         now: Timestamp,
     ): Boolean {
         val ofTeam = held.count { it.caller.contract.team == request.caller.contract.team }
-        return decision.awaitingUnits && now < request.until && ofTeam < request.caller.contract.queueLength
+        // After a pause the shares are not valid until the allotment is confirmed, which takes one read or peer answer.
+        val mayChange = decision.awaitingUnits || decision.reason == RefusalReason.CONFIGURATION_MISSING
+        return mayChange && now < request.until && ofTeam < request.caller.contract.queueLength
     }
 
     private fun refuse(
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/TestFleet.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/TestFleet.kt
@@ -21,11 +21,16 @@
     routerFlags: List<String> = emptyList(),
     private val requestsPerSecond: Double = 1000.0,
     linkedRouter: Boolean = false,
+    linkedTails: Boolean = false,
 ) : AutoCloseable {
     private val processes = ProcessFleet(routerClassPath = System.getProperty("java.class.path"))
 
     val heads: List<FleetProcess> = engines("head", 0, MIDDLE, enginesPerRange, tokenDelay)
     val tails: List<FleetProcess> = engines("tail", MIDDLE, LAYERS, enginesPerRange, tokenDelay)
+
+    /** The links to the engines of the last layers, in their order, if there are any. */
+    val tailLinks: List<FleetProcess> =
+        if (linkedTails) tails.map { processes.link("link-${it.name}", it.address) } else emptyList()
     val services: List<FleetProcess> = (1..services).map { processes.service("orders-$it") }
     val platform: FleetProcess
     val routers: List<FleetProcess>
@@ -102,7 +107,10 @@
 
     private fun objects(): List<FleetObject> {
         val heads = heads.map { engineObject(it, 0, MIDDLE) }
-        val tails = tails.map { engineObject(it, MIDDLE, LAYERS) }
+        val tails =
+            tails.mapIndexed { i, tail ->
+                engineObject(tail, MIDDLE, LAYERS, tailLinks.getOrNull(i)?.address ?: tail.address)
+            }
         val servers =
             services.map {
                 FleetObject("endpoint", it.name, """{"address":"${it.address}","zone":"z1","service":"$SERVICE"}""")
@@ -117,9 +125,10 @@
         engine: FleetProcess,
         first: Int,
         end: Int,
+        address: String = engine.address,
     ): FleetObject {
         val value =
-            """{"address":"${engine.address}","zone":"z1","model":"$MODEL","first":$first,"end":$end,""" +
+            """{"address":"$address","zone":"z1","model":"$MODEL","first":$first,"end":$end,""" +
                 """"tokensPerSecond":$RATE}"""
         return FleetObject("endpoint", engine.name, value)
     }
