--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/RecoveryProcessTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/process/RecoveryProcessTest.kt
@@ -13,21 +13,21 @@
 /** Guards against answers that end, repeat or mix tokens when a stage or its connection fails in mid-stream. */
 class RecoveryProcessTest {
     @Test
-    fun `a stream is whole when its first stage is killed`() = streamSurvives { it.heads.busiest().kill() }
+    fun `a stream is whole when its first stage is killed`() = streamSurvives("first stage killed") { it.heads.busiest().kill() }
 
     @Test
-    fun `a stream is whole when its last stage is killed`() = streamSurvives { it.tails.busiest().kill() }
+    fun `a stream is whole when its last stage is killed`() = streamSurvives("last stage killed") { it.tails.busiest().kill() }
 
     @Test
-    fun `a stream is whole when its last stage is frozen with SIGSTOP`() = streamSurvives { it.tails.busiest().pause() }
+    fun `a stream is whole when its last stage is frozen with SIGSTOP`() = streamSurvives("last stage frozen") { it.tails.busiest().pause() }
 
     @Test
     fun `a stream is whole when its first stage is frozen with SIGSTOP`() =
-        streamSurvives { it.heads.busiest().pause() }
+        streamSurvives("first stage frozen") { it.heads.busiest().pause() }
 
     @Test
     fun `a stream is whole when its open connection goes silent and new ones work`() =
-        streamSurvives { it.heads.busiest().inject(EngineFault.Freeze(openStreamsOnly = true)) }
+        streamSurvives("silent connection") { it.heads.busiest().inject(EngineFault.Freeze(openStreamsOnly = true)) }
 
     @Test
     fun `a stream is whole when the engine sends duplicates and lines of other requests`() {
@@ -42,7 +42,10 @@
         }
     }
 
-    private fun streamSurvives(fail: (TestFleet) -> Unit) {
+    private fun streamSurvives(
+        name: String,
+        fail: (TestFleet) -> Unit,
+    ) {
         TestFleet(routers = 1).use { fleet ->
             val firstTokens = CountDownLatch(FIRST_TOKENS)
             val reply =
@@ -54,6 +57,7 @@
 
             expectThat(reply.get().events()).containsExactly(TestFleet.expectedStream(PROMPT, TOKENS))
             expectThat(fleet.metric(0, "oriolespindle_retries_total")).isGreaterThan(0.0)
+            println("FIGURE recovery after $name: ${fleet.metric(0, "oriolespindle_recovery_seconds_sum")} s")
         }
     }
 
