--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/Coverage.kt
@@ -0,0 +1,66 @@
+package oriolespindle.core.placement
+
+import oriolespindle.core.id.LayerRange
+
+/** Counts the holders of each layer in one zone and finds the range that another holder should take. */
+internal class Coverage(
+    private val layers: Int,
+) {
+    private val ranges = ArrayList<LayerRange>()
+    private val holders = IntArray(layers)
+
+    /** The number of layers that the smallest holder of a layer takes with it when it is lost. */
+    private val lossSize = IntArray(layers)
+
+    val hasHole: Boolean get() = holders.any { it == 0 }
+
+    fun add(range: LayerRange) {
+        ranges += range
+        recount()
+    }
+
+    fun remove(range: LayerRange) {
+        ranges -= range
+        recount()
+    }
+
+    /** Returns whether all layers of [range], which one holder has, have another holder too. */
+    fun isCoveredWithout(range: LayerRange): Boolean = (range.first until range.end).all { holders[it] > 1 }
+
+    /**
+     * Returns the range of [count] layers that adds most; the lowest one if several do.
+     *
+     * Only starts at which another range begins or ends are weighed, so that few boundaries arise and paths stay short.
+     */
+    fun bestRange(count: Int): LayerRange {
+        val last = layers - count
+        val edges = ranges.flatMap { listOf(it.first, it.end, it.first - count, it.end - count) }
+        val starts = (edges + 0 + last).filter { it in 0..last }.distinct().sorted()
+        val start = starts.maxBy { first -> (first until first + count).sumOf(::gain) }
+        return LayerRange(start, start + count)
+    }
+
+    private fun gain(layer: Int): Double =
+        when (holders[layer]) {
+            0 -> UNCOVERED
+            1 -> SINGLE + lossSize[layer].toDouble() / layers
+            else -> 1.0 / holders[layer] / layers
+        }
+
+    private fun recount() {
+        holders.fill(0)
+        lossSize.fill(layers)
+        for (range in ranges) {
+            for (layer in range.first until minOf(range.end, layers)) {
+                holders[layer]++
+                lossSize[layer] = minOf(lossSize[layer], range.size)
+            }
+        }
+    }
+
+    private companion object {
+        /** A layer that nobody holds stops the zone, so it outweighs any number of second holders in one range. */
+        const val UNCOVERED = 1_000.0
+        const val SINGLE = 1.0
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -0,0 +1,135 @@
+package oriolespindle.core.placement
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.LayerRange
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.relay.RelayEndpoint
+
+/** The endpoint [endpoint] should hold [layers]. */
+public data class LayerOrder(
+    public val endpoint: RelayEndpoint,
+    public val layers: LayerRange,
+)
+
+/** The targets of [LayerPlacer]. */
+public data class PlacementSettings(
+    /**
+     * Copies of the model that a zone holds while memory for requests allows it.
+     *
+     * With two whole copies there is next to no memory for requests, and with one the first loss of an endpoint stops
+     * the zone; docs/platform.md has the figures.
+     */
+    public val copies: Double = 1.4,
+    /** Memory for requests that is kept before copies are added, in usual requests at once. */
+    public val leastRequests: Int = 12,
+    /** The granularity of the search for the room that a zone can keep, in tokens. */
+    public val tokenStep: Int = 1_000,
+)
+
+/**
+ * Decides which layers each endpoint of a model should hold, zone by zone, so that every zone can serve alone.
+ *
+ * Layers that are held stay where they are while all layers of the zone are covered. An empty endpoint takes the range
+ * that adds most: first layers that nobody holds, then those whose only holder would take the most layers with it. If
+ * a layer is not covered and no endpoint is empty, the endpoint whose own layers are all held elsewhere moves.
+ */
+public class LayerPlacer(
+    private val settings: PlacementSettings = PlacementSettings(),
+) {
+    /**
+     * Returns the orders to give now.
+     *
+     * [planned] has the ranges that were ordered and that the endpoints do not report yet.
+     */
+    public fun orders(
+        model: ModelLayout,
+        endpoints: List<RelayEndpoint>,
+        planned: Map<EndpointId, LayerRange>,
+    ): List<LayerOrder> =
+        endpoints
+            .filter { it.accelerator in model.accelerators }
+            .groupBy { it.zone }
+            .toSortedMap(compareBy(ZoneId::value))
+            .values
+            .flatMap { zoneOrders(model, it, planned) }
+
+    private fun zoneOrders(
+        model: ModelLayout,
+        endpoints: List<RelayEndpoint>,
+        planned: Map<EndpointId, LayerRange>,
+    ): List<LayerOrder> {
+        val sizes = layerCounts(model, endpoints)
+        val coverage = Coverage(model.layers)
+        endpoints.forEach { endpoint -> held(endpoint, planned)?.let(coverage::add) }
+        val orders = ArrayList<LayerOrder>()
+        endpoints
+            .filter { held(it, planned) == null && !it.isLeaving }
+            .sortedWith(compareBy({ stepFactor(model, it) }, { it.id }))
+            .forEach { endpoint ->
+                val count = sizes.getValue(endpoint.id)
+                if (count > 0) {
+                    val range = coverage.bestRange(count)
+                    coverage.add(range)
+                    orders += LayerOrder(endpoint, range)
+                }
+            }
+        if (coverage.hasHole) repair(endpoints, sizes, coverage, planned, orders)?.let(orders::add)
+        return orders
+    }
+
+    private fun repair(
+        endpoints: List<RelayEndpoint>,
+        sizes: Map<EndpointId, Int>,
+        coverage: Coverage,
+        planned: Map<EndpointId, LayerRange>,
+        given: List<LayerOrder>,
+    ): LayerOrder? {
+        if (planned.isNotEmpty() || given.isNotEmpty()) return null
+        val spare =
+            endpoints
+                .filter { !it.isLeaving }
+                .filter { endpoint -> endpoint.layers?.let(coverage::isCoveredWithout) ?: false }
+                .maxByOrNull { sizes.getValue(it.id) } ?: return null
+        coverage.remove(checkNotNull(spare.layers))
+        return LayerOrder(spare, coverage.bestRange(sizes.getValue(spare.id)))
+    }
+
+    private fun held(
+        endpoint: RelayEndpoint,
+        planned: Map<EndpointId, LayerRange>,
+    ): LayerRange? = planned[endpoint.id] ?: endpoint.layers?.takeUnless { endpoint.isLeaving }
+
+    /** Returns how many layers each endpoint holds, with the same room for requests on all of them. */
+    private fun layerCounts(
+        model: ModelLayout,
+        endpoints: List<RelayEndpoint>,
+    ): Map<EndpointId, Int> {
+        val usual = model.usualPromptTokens + model.usualAnswerTokens
+        val least = settings.leastRequests * usual
+        var counts = counts(model, endpoints, least)
+        var tokens = least
+        while (true) {
+            tokens += settings.tokenStep
+            val next = counts(model, endpoints, tokens)
+            if (next.values.sum() < settings.copies * model.layers) return counts
+            counts = next
+        }
+    }
+
+    private fun counts(
+        model: ModelLayout,
+        endpoints: List<RelayEndpoint>,
+        tokens: Int,
+    ): Map<EndpointId, Int> =
+        endpoints.associate { it.id to model.layersWithRoom(accelerator(model, it), tokens.toDouble()) }
+
+    private fun stepFactor(
+        model: ModelLayout,
+        endpoint: RelayEndpoint,
+    ): Double = accelerator(model, endpoint).stepFactor
+
+    private fun accelerator(
+        model: ModelLayout,
+        endpoint: RelayEndpoint,
+    ): Accelerator = model.accelerators.getValue(checkNotNull(endpoint.accelerator))
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -0,0 +1,163 @@
+package oriolespindle.core.relay
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The times of [EndpointDirectory]. */
+public data class DirectorySettings(
+    /** Registrations that lapsed with the store are renewed within two seconds of its return; see docs/platform.md. */
+    public val renewalAfterOutage: Duration = 2_200.milliseconds,
+    /** The first pause after a failed contact, doubled with each further one up to [longestPause]. */
+    public val firstPause: Duration = 250.milliseconds,
+    /** Short enough to find a restarted endpoint soon after it listens again. */
+    public val longestPause: Duration = 2_000.milliseconds,
+)
+
+/**
+ * The endpoints that may receive requests, from their registrations and from this instance's own contacts.
+ *
+ * A registration that is removed while the store answers is gone at once. One that is missing after an outage of the
+ * store may only have lapsed; its endpoint stays in use until [DirectorySettings.renewalAfterOutage] has passed since
+ * the store came back. An endpoint that failed a contact pauses and is tried again.
+ */
+public class EndpointDirectory(
+    private val settings: DirectorySettings = DirectorySettings(),
+) {
+    private class Entry(
+        var endpoint: RelayEndpoint,
+    ) {
+        var lapsedUntil: Timestamp? = null
+        var failures = 0
+        var pausedUntil: Timestamp? = null
+    }
+
+    private val entries = HashMap<EndpointId, Entry>()
+    private var storeLost = false
+
+    /** When registrations that lapsed in an outage count as gone; null when none is waited for. */
+    private var renewalEnds: Timestamp? = null
+
+    /** Whether the registrations have been read at least once. */
+    public var isKnown: Boolean = false
+        private set
+
+    /** Takes the whole list of registrations. */
+    public fun replaceAll(
+        now: Timestamp,
+        endpoints: List<RelayEndpoint>,
+    ) {
+        isKnown = true
+        endpoints.forEach(::put)
+        val listed = endpoints.mapTo(HashSet()) { it.id }
+        entries.keys.filter { it !in listed }.forEach { remove(now, it) }
+    }
+
+    /** Takes one registration that is new or has changed. */
+    public fun put(endpoint: RelayEndpoint) {
+        val known = entries[endpoint.id]
+        if (known == null || endpoint.startedAt > known.endpoint.startedAt) {
+            entries[endpoint.id] = Entry(endpoint)
+        } else if (endpoint.startedAt == known.endpoint.startedAt) {
+            // A process that leaves does not come back, whatever an older registration says.
+            val leaving = known.endpoint.isLeaving || endpoint.isLeaving
+            known.endpoint = endpoint.copy(isLeaving = leaving)
+            known.lapsedUntil = null
+        }
+    }
+
+    /** Takes the removal of a registration. */
+    public fun remove(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ) {
+        val until = renewalEnds
+        val entry = entries[endpoint] ?: return
+        if (storeLost || (until != null && now < until)) {
+            if (entry.lapsedUntil == null) entry.lapsedUntil = until ?: Timestamp(Long.MAX_VALUE)
+        } else {
+            entries.remove(endpoint)
+        }
+    }
+
+    /** The store does not answer this instance. */
+    public fun storeLost() {
+        storeLost = true
+        renewalEnds = null
+    }
+
+    /** The store answers again. */
+    public fun storeRegained(now: Timestamp) {
+        if (!storeLost) return
+        storeLost = false
+        val until = now + settings.renewalAfterOutage
+        renewalEnds = until
+        entries.values.forEach { if (it.lapsedUntil != null) it.lapsedUntil = until }
+    }
+
+    /** A contact with [endpoint] failed in a way that concerns the whole endpoint. */
+    public fun failed(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ) {
+        val entry = entries[endpoint] ?: return
+        val paused = entry.pausedUntil
+        if (paused != null && now < paused) return
+        val factor = 1 shl minOf(entry.failures, MAX_DOUBLINGS)
+        entry.pausedUntil = now + minOf(settings.firstPause * factor, settings.longestPause)
+        entry.failures++
+    }
+
+    /** [endpoint] answered. */
+    public fun succeeded(endpoint: EndpointId) {
+        val entry = entries[endpoint] ?: return
+        entry.failures = 0
+        entry.pausedUntil = null
+    }
+
+    /** The address is used by another process now; the registration is out of date. */
+    public fun replaced(endpoint: EndpointId) {
+        entries.remove(endpoint)
+    }
+
+    /** Returns the endpoint [id] while it is registered. */
+    public fun find(id: EndpointId): RelayEndpoint? = entries[id]?.endpoint
+
+    /** Returns the registered endpoint at [address], the one that started last if there are several. */
+    public fun at(address: String): RelayEndpoint? =
+        entries.values
+            .filter { it.endpoint.address == address }
+            .maxByOrNull { it.endpoint.startedAt }
+            ?.endpoint
+
+    /** Returns the registered endpoints of [service], with those that leave or pause. */
+    public fun registered(
+        now: Timestamp,
+        service: ServiceId,
+    ): List<RelayEndpoint> = live(now).map { it.endpoint }.filter { it.service == service }
+
+    /** Returns the endpoints of [service] that may receive a request now. */
+    public fun usable(
+        now: Timestamp,
+        service: ServiceId,
+    ): List<RelayEndpoint> =
+        live(now)
+            .filter { it.endpoint.service == service && !it.endpoint.isLeaving && !isPaused(now, it) }
+            .map { it.endpoint }
+
+    private fun isPaused(
+        now: Timestamp,
+        entry: Entry,
+    ): Boolean = entry.pausedUntil?.let { now < it } ?: false
+
+    private fun live(now: Timestamp): List<Entry> {
+        entries.values.removeIf { entry -> entry.lapsedUntil?.let { now >= it } ?: false }
+        return entries.values.toList()
+    }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 5
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
@@ -0,0 +1,69 @@
+package oriolespindle.core.relay
+
+/** One whole event of an event stream. */
+public class StreamRecord(
+    /** The event with the blank line that ends it. */
+    public val bytes: ByteArray,
+    /** Its id, or null when it has none. */
+    public val id: Long?,
+)
+
+/** Cuts an event stream into whole events; what follows the last blank line waits for more bytes. */
+public class EventFramer {
+    private var buffer = ByteArray(INITIAL_CAPACITY)
+    private var size = 0
+
+    /** Whether bytes of an event have arrived whose end has not. */
+    public val hasPartialEvent: Boolean get() = size > 0
+
+    /** Takes the next bytes and returns the events that are whole now. */
+    public fun feed(bytes: ByteArray): List<StreamRecord> {
+        if (size + bytes.size > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, size + bytes.size))
+        bytes.copyInto(buffer, size)
+        size += bytes.size
+        val records = ArrayList<StreamRecord>()
+        var start = 0
+        var position = 0
+        while (position + 1 < size) {
+            val length = blankLine(position)
+            if (length == 0) {
+                position++
+                continue
+            }
+            position += length
+            val event = buffer.copyOfRange(start, position)
+            records += StreamRecord(event, id(event))
+            start = position
+        }
+        buffer.copyInto(buffer, 0, start, size)
+        size -= start
+        return records
+    }
+
+    /** Forgets a partial event, before bytes of another answer follow. */
+    public fun reset() {
+        size = 0
+    }
+
+    /** Returns the length of the end of a line and of the blank line after it at [position], or 0. */
+    private fun blankLine(position: Int): Int =
+        when {
+            buffer[position] == LF && buffer[position + 1] == LF -> 2
+            isCrLf(position) && isCrLf(position + 2) -> 2 * 2
+            else -> 0
+        }
+
+    private fun isCrLf(position: Int) = position + 1 < size && buffer[position] == CR && buffer[position + 1] == LF
+
+    private fun id(event: ByteArray): Long? {
+        val line = event.decodeToString().lineSequence().firstOrNull { it.startsWith(ID_FIELD) }
+        return line?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
+    }
+
+    private companion object {
+        const val INITIAL_CAPACITY = 1024
+        const val ID_FIELD = "id:"
+        const val LF = '\n'.code.toByte()
+        const val CR = '\r'.code.toByte()
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
@@ -0,0 +1,72 @@
+package oriolespindle.core.relay
+
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.placement.ModelLayout
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** A service that routes lead to; [model] describes its engines, and is null for a plain service. */
+public data class RelayService(
+    public val id: ServiceId,
+    /** The most connections that one endpoint accepts from all callers together. */
+    public val maxConnections: Int,
+    public val model: ModelLayout? = null,
+)
+
+/** What a caller may send and how long it may take. */
+public data class CallerLimits(
+    public val maxHeaderBytes: Int = 16_384,
+    public val maxBodyBytes: Int = 4_194_304,
+    public val headerTimeout: Duration = 3.seconds,
+    public val idleTimeout: Duration = 15.seconds,
+)
+
+/** One whole version of the operators' configuration for relayed requests. */
+public class RelayConfiguration(
+    public val version: Long,
+    routes: List<Route>,
+    services: List<RelayService>,
+    public val limits: CallerLimits = CallerLimits(),
+    /** The team of each key; null when requests carry no keys. */
+    private val teamsByKey: Map<String, TeamId>? = null,
+) {
+    private val table = RouteTable(routes)
+    private val servicesById = services.associateBy { it.id }
+
+    /** The services with engines, for which layers are placed. */
+    public val modelServices: List<RelayService> = services.filter { it.model != null }
+
+    /** Whether requests need keys, other than on public routes. */
+    public val requiresKeys: Boolean get() = teamsByKey != null
+
+    /** Returns the route of a request, or null. */
+    public fun route(
+        host: String,
+        path: String,
+    ): Route? = table.find(host, path)
+
+    /** Returns the service [id], or null when this version does not have it. */
+    public fun service(id: ServiceId): RelayService? = servicesById[id]
+
+    /** Returns the team that holds [key], or null. */
+    public fun team(key: String): TeamId? = teamsByKey?.get(key)
+}
+
+/**
+ * The configuration in force in one process.
+ *
+ * Versions only rise for as long as the process lives, so that a stale read never brings back a removed route or key.
+ */
+public class ConfigurationHolder {
+    /** The newest version that was offered, or null before the first one. */
+    public var current: RelayConfiguration? = null
+        private set
+
+    /** Takes [offered] if it is newer and returns whether it is now in force. */
+    public fun offer(offered: RelayConfiguration): Boolean {
+        val newer = offered.version > (current?.version ?: Long.MIN_VALUE)
+        if (newer) current = offered
+        return newer
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RouteTable.kt
@@ -0,0 +1,36 @@
+package oriolespindle.core.relay
+
+import oriolespindle.core.id.ServiceId
+
+/** Finds the route of a request: the longest path prefix of the request's host. */
+public class RouteTable(
+    routes: List<Route>,
+) {
+    private val byHost: Map<String, List<Route>> =
+        routes
+            .groupBy { it.host.lowercase() }
+            .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
+
+    /** Returns the route for [host], with or without a port, and [path] without a query, or null. */
+    public fun find(
+        host: String,
+        path: String,
+    ): Route? = byHost[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    public companion object {
+        /** Chooses a target by weight; equal [seed]s choose equally, so that a repeat goes to the same service. */
+        public fun target(
+            route: Route,
+            seed: Int,
+        ): ServiceId? {
+            val total = route.targets.sumOf { it.weight }
+            if (total <= 0) return route.targets.firstOrNull()?.service
+            var point = Math.floorMod(seed, total)
+            return route.targets
+                .first {
+                    point -= it.weight
+                    point < 0
+                }.service
+        }
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ServiceBudgets.kt
@@ -0,0 +1,84 @@
+package oriolespindle.core.relay
+
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The bound on repeats that all instances share; each uses its own part of [burst] and no exchange is needed. */
+public data class ServiceBudgetSettings(
+    /** Repeats as a part of the requests of one window. */
+    public val ratio: Double,
+    /** Repeats in one window beside [ratio], over all instances. */
+    public val burst: Int,
+    public val window: Duration = 10.seconds,
+    /** Keeps repeats below the bound although windows of different instances do not start together. */
+    public val safety: Double = 0.8,
+)
+
+/** Counts requests and repeats of each service over a sliding window. */
+public class ServiceBudgets(
+    private val settings: ServiceBudgetSettings,
+) {
+    private class Window {
+        val requests = IntArray(SLOTS)
+        val retries = IntArray(SLOTS)
+        var slot = Long.MIN_VALUE
+    }
+
+    private val windows = HashMap<ServiceId, Window>()
+    private val slotNanos = settings.window.inWholeNanoseconds / SLOTS
+
+    /** The number of instances that share the burst, at least 1. */
+    public var instances: Int = DEFAULT_INSTANCES
+        set(value) {
+            field = value.coerceAtLeast(1)
+        }
+
+    /** A caller sent a request on a route to [service]. */
+    public fun requested(
+        now: Timestamp,
+        service: ServiceId,
+    ) {
+        val window = advanced(now, service)
+        window.requests[index(window)]++
+    }
+
+    /** Takes one repeat out of the budget of [service] and returns whether there was one. */
+    public fun takeRetry(
+        now: Timestamp,
+        service: ServiceId,
+    ): Boolean {
+        val window = advanced(now, service)
+        val allowed = settings.safety * (settings.ratio * window.requests.sum() + settings.burst.toDouble() / instances)
+        if (window.retries.sum() + 1 > allowed) return false
+        window.retries[index(window)]++
+        return true
+    }
+
+    private fun index(window: Window) = Math.floorMod(window.slot, SLOTS)
+
+    private fun advanced(
+        now: Timestamp,
+        service: ServiceId,
+    ): Window {
+        val window = windows.getOrPut(service) { Window() }
+        val current = Math.floorDiv(now.nanos, slotNanos)
+        if (current <= window.slot) return window
+        val passed = if (window.slot == Long.MIN_VALUE) SLOTS.toLong() else minOf(current - window.slot, SLOTS.toLong())
+        for (age in 0 until passed) {
+            val stale = Math.floorMod(current - age, SLOTS)
+            window.requests[stale] = 0
+            window.retries[stale] = 0
+        }
+        window.slot = current
+        return window
+    }
+
+    private companion object {
+        const val SLOTS = 20
+
+        /** Assumed until the instances have been counted. */
+        const val DEFAULT_INSTANCES = 16
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -1,19 +1,26 @@
 package oriolespindle.router.http
 
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A request in progress. */
-internal class ClientCall(
+public class ClientCall internal constructor(
     private val listener: ClientListener,
 ) {
     private val pending = ArrayDeque<ClientEvent>()
@@ -24,19 +31,21 @@
 
     /** Whether the request was handed to a connection. */
     @Volatile
-    var sent: Boolean = false
+    public var sent: Boolean = false
         private set
 
     /** Ends the call and closes its connection, so that what still arrives on it cannot reach another request. */
-    fun cancel() {
+    public fun cancel() {
         fail(FailureKind.CANCELLED)
     }
 
-    fun pauseReading() {
+    /** Stops reading the response until [resumeReading]. */
+    public fun pauseReading() {
         setPaused(true)
     }
 
-    fun resumeReading() {
+    /** Reads the response again. */
+    public fun resumeReading() {
         setPaused(false)
     }
 
@@ -116,8 +125,26 @@
     private val address: Address,
     private val pool: ConnectionPool,
 ) : ChannelInboundHandlerAdapter() {
-    var current: ClientCall? = null
+    private var current: ClientCall? = null
+    private var isAnswer: (HttpHeaders) -> Boolean = { true }
+    private var requestWritten: ChannelFuture? = null
     private var keepAlive = false
+    private var keepAliveTime: Duration? = null
+
+    /** Whether the response that arrives is an interim one or belongs to an earlier request. */
+    private var skipping = false
+
+    /** Sends [message] for [call], whose response is the next one that [isAnswer] accepts. */
+    fun send(
+        ctx: ChannelHandlerContext,
+        call: ClientCall,
+        message: FullHttpRequest,
+        isAnswer: (HttpHeaders) -> Boolean,
+    ) {
+        current = call
+        this.isAnswer = isAnswer
+        requestWritten = ctx.channel().writeAndFlush(message)
+    }
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
@@ -140,8 +167,11 @@
             ctx.close()
             return
         }
+        if (message is HttpResponse) skipping = message.status().codeClass() == INTERIM || !isAnswer(message.headers())
+        if (skipping) return
         if (message is HttpResponse) {
             keepAlive = HttpUtil.isKeepAlive(message)
+            keepAliveTime = keepAliveTime(message.headers())
             call.deliver(ClientEvent.Head(message.status().code(), message.headers()))
         }
         if (message is HttpContent && message.content().isReadable) {
@@ -157,8 +187,16 @@
         call: ClientCall,
     ) {
         current = null
+        // A server may answer before it has read the request; the rest of the body must not be taken for the next one.
+        val reusable = keepAlive && requestWritten?.isSuccess == true
         call.deliver(ClientEvent.End)
-        if (call.detach() && keepAlive) pool.put(address, ctx.channel()) else ctx.close()
+        if (call.detach() && reusable) pool.put(address, ctx.channel(), keepAliveTime) else ctx.close()
+    }
+
+    /** Returns how long the server keeps an idle connection, less the time in which its close may be on the way. */
+    private fun keepAliveTime(headers: HttpHeaders): Duration? {
+        val seconds = KEEP_ALIVE_TIMEOUT.find(headers.get("Keep-Alive").orEmpty())?.groupValues?.get(1)
+        return seconds?.toLongOrNull()?.seconds?.minus(CLOSE_MARGIN)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -173,6 +211,16 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        // The decoder would take the end of a connection that was reset for the end of a response without a length.
+        val call = current
+        current = null
+        call?.fail(FailureKind.CONNECTION_LOST)
         ctx.close()
     }
+
+    private companion object {
+        val INTERIM = HttpStatusClass.INFORMATIONAL
+        val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
+        val CLOSE_MARGIN = 200.milliseconds
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ConnectionPool.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ConnectionPool.kt
@@ -15,15 +15,22 @@
     private class Idle(
         val channel: Channel,
         val since: TimeMark,
+        val usableFor: Duration,
     )
 
     private val idle = ConcurrentHashMap<Address, ConcurrentLinkedDeque<Idle>>()
 
-    fun take(address: Address): Channel? {
+    /** Returns an open connection that has been idle for less than [maxIdle], or null. */
+    fun take(
+        address: Address,
+        maxIdle: Duration = this.maxIdle,
+    ): Channel? {
         val connections = idle[address] ?: return null
         while (true) {
             val entry = connections.pollFirst() ?: return null
-            if (entry.channel.isActive && entry.since.elapsedNow() < maxIdle) return entry.channel
+            if (entry.channel.isActive && entry.since.elapsedNow() < minOf(maxIdle, entry.usableFor)) {
+                return entry.channel
+            }
             entry.channel.close()
         }
     }
@@ -31,19 +38,21 @@
     fun put(
         address: Address,
         channel: Channel,
+        keepAliveTime: Duration? = null,
     ) {
         val connections = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
         if (connections.size >= maxIdlePerAddress) {
             channel.close()
         } else {
-            connections.addFirst(Idle(channel, TimeSource.Monotonic.markNow()))
+            val usableFor = minOf(maxIdle, keepAliveTime ?: maxIdle)
+            connections.addFirst(Idle(channel, TimeSource.Monotonic.markNow(), usableFor))
         }
     }
 
     fun closeExpired() {
         idle.values.forEach { connections ->
             connections.removeIf { entry ->
-                val expired = !entry.channel.isActive || entry.since.elapsedNow() >= maxIdle
+                val expired = !entry.channel.isActive || entry.since.elapsedNow() >= entry.usableFor
                 if (expired) entry.channel.close()
                 expired
             }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -11,9 +11,11 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import oriolespindle.router.runtime.monotonicNow
@@ -21,27 +23,28 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-internal data class HttpClientSettings(
-    val connectTimeout: Duration = 1.seconds,
-    val maxIdle: Duration = 20.seconds,
-    val maxIdlePerAddress: Int = 32,
+/** Limits of the connections of one [HttpClient]. */
+public data class HttpClientSettings(
+    public val connectTimeout: Duration = 1.seconds,
+    public val maxIdle: Duration = 20.seconds,
+    public val maxIdlePerAddress: Int = 32,
 )
 
 /** Sends HTTP/1.1 requests over pooled connections, one request at a time on each connection. */
-internal class HttpClient(
+public class HttpClient(
     private val group: EventLoopGroup,
     private val settings: HttpClientSettings = HttpClientSettings(),
 ) {
     private val pool = ConnectionPool(settings.maxIdle, settings.maxIdlePerAddress)
 
     /** Sends [request]; [listener] receives what follows. A null [timeout] leaves the response without a time limit. */
-    fun send(
+    public fun send(
         request: ClientRequest,
         timeout: Duration? = null,
         listener: ClientListener,
     ): ClientCall {
         val call = ClientCall(listener)
-        val pooled = if (request.freshConnection) null else pool.take(request.address)
+        val pooled = if (request.freshConnection) null else pool.take(request.address, request.maxIdle ?: settings.maxIdle)
         if (pooled != null) {
             pooled.eventLoop().execute { begin(call, request, pooled) }
         } else {
@@ -56,12 +59,12 @@
     }
 
     /** Closes idle pooled connections that are older than the maximum idle time. */
-    fun closeExpired() {
+    public fun closeExpired() {
         pool.closeExpired()
     }
 
     /** Closes the idle pooled connections to [address], since one of its connections was found silent. */
-    fun closeIdle(address: Address) {
+    public fun closeIdle(address: Address) {
         pool.closeAll(address)
     }
 
@@ -74,7 +77,9 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec(), ClientCallHandler(address, pool))
+                        // The codec for clients would pair responses with requests and fail on one that is too many.
+                        val decoder = HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES))
+                        channel.pipeline().addLast(HttpRequestEncoder(), decoder, ClientCallHandler(address, pool))
                     }
                 },
             ).connect(address.toSocketAddress())
@@ -112,18 +117,31 @@
             channel.close()
             return
         }
-        channel.pipeline().get(ClientCallHandler::class.java).current = call
-        channel.writeAndFlush(encode(request))
+        val ctx = channel.pipeline().context(ClientCallHandler::class.java)
+        (ctx.handler() as ClientCallHandler).send(ctx, call, encode(request), request.isAnswer)
     }
 
     private fun encode(request: ClientRequest): DefaultFullHttpRequest {
         val body = Unpooled.wrappedBuffer(request.body)
         val message =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.uri, body)
-        message.headers().set(HttpHeaderNames.HOST, request.address.toString())
-        if (request.body.isNotEmpty()) message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType)
+        val relayed = request.relayed
+        if (relayed != null) {
+            message.headers().set(relayed)
+        } else {
+            message.headers().set(HttpHeaderNames.HOST, request.address.toString())
+            if (request.body.isNotEmpty()) message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType)
+        }
         request.headers.forEach { (name, value) -> message.headers().set(name, value) }
-        HttpUtil.setContentLength(message, request.body.size.toLong())
+        if (relayed == null || request.body.isNotEmpty() || request.method !in WITHOUT_BODY) {
+            HttpUtil.setContentLength(message, request.body.size.toLong())
+        }
         return message
     }
+
+    private companion object {
+        /** Responses of endpoints carry headers of their own; this bounds memory and not what they may say. */
+        const val MAX_HEADER_BYTES = 65_536
+        val WITHOUT_BODY = setOf("GET", "HEAD", "OPTIONS", "DELETE")
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -31,7 +31,7 @@
 /** An HTTP/1.1 listener that hands each complete request to [handler] on an event loop thread. */
 internal class HttpServer(
     private val group: EventLoopGroup,
-    private val settings: HttpServerSettings = HttpServerSettings(),
+    @Volatile var settings: HttpServerSettings = HttpServerSettings(),
     private val tls: SslContext? = null,
     private val observer: ConnectionObserver = ConnectionObserver.None,
     private val handler: (ServerExchange) -> Unit,
@@ -72,7 +72,8 @@
 
     /** Stops accepting connections. */
     fun stopAccepting() {
-        listener?.close()?.syncUninterruptibly()
+        val closed = listener?.close() ?: return
+        if (!closed.channel().eventLoop().inEventLoop()) closed.syncUninterruptibly()
     }
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -73,6 +74,9 @@
 
     fun header(name: String): String? = head.headers().get(name)
 
+    /** All headers of the request. */
+    val requestHeaders: HttpHeaders get() = head.headers()
+
     fun headerNames(): Set<String> = head.headers().names()
 
     fun headers(name: String): List<String> = head.headers().getAll(name)
@@ -92,6 +96,36 @@
         finish(response)
     }
 
+    /** Sends a whole answer with the headers of another server's response; later calls are ignored. */
+    fun relay(
+        status: Int,
+        headers: HttpHeaders,
+        body: ByteArray,
+    ) {
+        if (!end()) return
+        val response =
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(body),
+            )
+        response.headers().set(headers)
+        HttpUtil.setContentLength(response, body.size.toLong())
+        finish(response)
+    }
+
+    /** Starts an answer with the headers of another server's response, whose body is sent in chunks. */
+    fun beginRelay(
+        status: Int,
+        headers: HttpHeaders,
+    ) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().set(headers)
+        HttpUtil.setTransferEncodingChunked(response, true)
+        markConnection(response)
+        ctx.write(response)
+    }
+
     /** Starts an answer whose body is sent in chunks. */
     fun beginStream(
         status: Int,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/logging/EventLog.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/logging/EventLog.kt
@@ -14,26 +14,28 @@
  * A fault that hits every request would otherwise write thousands of equal lines; the next line of a message tells how
  * many were left out. Messages are constants, so the number of limits is bounded.
  */
-internal object EventLog {
+public object EventLog {
     private const val LINES_PER_SECOND = 10
     private val windows = ConcurrentHashMap<String, Window>()
 
     /** Sets the format; it has to be called before the first line is logged. */
-    fun configure(format: LogFormat) {
+    public fun configure(format: LogFormat) {
         Configuration.set("writer", "event")
         Configuration.set("writer.format", format.name.lowercase())
         Configuration.set("level", "info")
     }
 
-    fun info(
+    /** Logs [message], a constant, with [fields]; a null field is left out. */
+    public fun info(
         message: String,
         vararg fields: Pair<String, Any?>,
-    ) = log(message, fields) { Logger.info(message) }
+    ): Unit = log(message, fields) { Logger.info(message) }
 
-    fun warn(
+    /** Logs [message], a constant, as a warning with [fields]; a null field is left out. */
+    public fun warn(
         message: String,
         vararg fields: Pair<String, Any?>,
-    ) = log(message, fields) { Logger.warn(message) }
+    ): Unit = log(message, fields) { Logger.warn(message) }
 
     private fun log(
         message: String,
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
@@ -0,0 +1,232 @@
+package oriolespindle.router.relay
+
+import oriolespindle.core.config.ObjectKey
+import oriolespindle.core.config.ObjectKind
+import oriolespindle.core.config.WriteAction
+import oriolespindle.core.config.WriteEvent
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.LayerRange
+import oriolespindle.core.lease.LeaseAction
+import oriolespindle.core.lease.LeaseEvent
+import oriolespindle.core.lease.LeaseHolder
+import oriolespindle.core.lease.LeaseSettings
+import oriolespindle.core.placement.LayerOrder
+import oriolespindle.core.placement.LayerPlacer
+import oriolespindle.core.placement.ModelLayout
+import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.relay.RelayService
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Orders engines to load layers while this instance holds the lease for it; it runs on the event loop. */
+internal class PlacementComponent(
+    private val context: RelayContext,
+    self: InstanceId,
+    private val objects: SharedObjects,
+) {
+    private class Planned(
+        val layers: LayerRange,
+        val startedAt: Long,
+        val giveUpAt: Timestamp,
+    )
+
+    /** How many orders the process that started at [startedAt] has accepted. */
+    private class OrderCount(
+        val startedAt: Long,
+        val accepted: Long,
+    )
+
+    private val lease = LeaseHolder(leaseSettings(self))
+    private val placer = LayerPlacer()
+    private val planned = HashMap<EndpointId, Planned>()
+    private val orderCounts = HashMap<EndpointId, OrderCount>()
+    private var fence: Long? = null
+
+    /** Whether this instance may give orders now. */
+    val holdsLease: Boolean get() = fence != null && lease.mayAct(monotonicNow(), ORDER_TIME)
+
+    fun start(rank: Int) {
+        handle(LeaseEvent.Candidate(rank))
+        context.timers.every(TICK, ::tick)
+    }
+
+    /** Lets another instance take over at once. */
+    fun stop() = handle(LeaseEvent.Release)
+
+    private fun tick() {
+        val due = lease.nextTimer()
+        if (due != null && monotonicNow() >= due) handle(LeaseEvent.Tick)
+        if (holdsLease) place()
+    }
+
+    private fun handle(event: LeaseEvent) {
+        for (action in lease.handle(monotonicNow(), event)) {
+            when (action) {
+                LeaseAction.Read -> objects.read(KEY, ::observed)
+                is LeaseAction.Perform -> perform(action.action)
+                is LeaseAction.Held -> held(action.fence)
+                is LeaseAction.Lost -> lost(action)
+            }
+        }
+    }
+
+    private fun observed(event: WriteEvent) {
+        if (event is WriteEvent.ReadBack) handle(LeaseEvent.Observed(event.current))
+    }
+
+    private fun perform(action: WriteAction) {
+        val deliver = { event: WriteEvent -> handle(LeaseEvent.Write(event)) }
+        when (action) {
+            is WriteAction.Write -> objects.write(action, deliver)
+            is WriteAction.Read -> objects.read(action.key, deliver)
+            is WriteAction.Wait, is WriteAction.Finish -> error("a lease holder times its own writes")
+        }
+    }
+
+    private fun held(newFence: Long) {
+        if (fence == newFence) return
+        fence = newFence
+        planned.clear()
+        orderCounts.clear()
+        EventLog.info("placement lease acquired", "fence" to newFence)
+    }
+
+    private fun lost(action: LeaseAction.Lost) {
+        fence = null
+        EventLog.info("placement lease lost", "reason" to action.reason)
+    }
+
+    private fun place() {
+        val now = monotonicNow()
+        val services = context.configuration.current?.modelServices.orEmpty()
+        for (service in services) {
+            val endpoints = context.directory.registered(now, service.id)
+            settle(now, endpoints)
+            val ranges = planned.mapValues { it.value.layers }
+            placer.orders(checkNotNull(service.model), endpoints, ranges).forEach { order(now, service, it) }
+        }
+    }
+
+    /** Forgets plans that have been carried out, that their process did not live to see, or that take too long. */
+    private fun settle(
+        now: Timestamp,
+        endpoints: List<RelayEndpoint>,
+    ) {
+        val byId = endpoints.associateBy { it.id }
+        planned.entries.removeIf { (id, plan) ->
+            val endpoint = byId[id]
+            endpoint == null || endpoint.layers == plan.layers || endpoint.startedAt != plan.startedAt || now >= plan.giveUpAt
+        }
+    }
+
+    private fun order(
+        now: Timestamp,
+        service: RelayService,
+        order: LayerOrder,
+    ) {
+        val endpoint = order.endpoint
+        val model = checkNotNull(service.model)
+        planned[endpoint.id] = Planned(order.layers, endpoint.startedAt, now + patience(model, order.layers))
+        EventLog.info(
+            "order to load layers",
+            "endpoint" to endpoint.id,
+            "address" to endpoint.address,
+            "zone" to endpoint.zone,
+            "layers" to order.layers,
+            "held" to endpoint.layers,
+        )
+        val known = orderCounts[endpoint.id]?.takeIf { it.startedAt == endpoint.startedAt }?.accepted
+        // A process without layers has most likely accepted none yet; it refuses the order if that is wrong.
+        val count = known ?: 0L.takeIf { endpoint.layers == null }
+        if (count != null) send(order, count) else readCount(endpoint) { send(order, it) }
+    }
+
+    private fun send(
+        order: LayerOrder,
+        acceptedOrders: Long,
+    ) {
+        val current = fence ?: return
+        val endpoint = order.endpoint
+        context.engines.place(order, acceptedOrders, current) { result ->
+            context.metrics.ordered(result.name.lowercase())
+            if (result != PlaceResult.ACCEPTED) {
+                EventLog.info(
+                    "order not confirmed",
+                    "endpoint" to endpoint.id,
+                    "result" to result,
+                    "accepted_orders" to acceptedOrders,
+                )
+            }
+            when (result) {
+                PlaceResult.ACCEPTED -> orderCounts[endpoint.id] = OrderCount(endpoint.startedAt, acceptedOrders + 1)
+                PlaceResult.REJECTED -> refused(order)
+                PlaceResult.UNKNOWN -> orderCounts.remove(endpoint.id)
+            }
+        }
+    }
+
+    /** Weighs the endpoint again soon, with the number of orders that it has accepted by then. */
+    private fun refused(order: LayerOrder) {
+        val endpoint = order.endpoint
+        planned[endpoint.id] = Planned(order.layers, endpoint.startedAt, monotonicNow() + REJECTED_PAUSE)
+        readCount(endpoint) {}
+    }
+
+    private fun readCount(
+        endpoint: RelayEndpoint,
+        next: (Long) -> Unit,
+    ) {
+        context.engines.acceptedOrders(endpoint) { count ->
+            if (count != null) {
+                orderCounts[endpoint.id] = OrderCount(endpoint.startedAt, count)
+                next(count)
+            } else {
+                planned[endpoint.id]?.let { plan ->
+                    val pause = monotonicNow() + REJECTED_PAUSE
+                    planned[endpoint.id] = Planned(plan.layers, endpoint.startedAt, pause)
+                }
+            }
+        }
+    }
+
+    private fun patience(
+        model: ModelLayout,
+        layers: LayerRange,
+    ): Duration = model.loadTime * (layers.size.toDouble() / model.layers) * LOAD_SLACK + REPORT_TIME
+
+    private companion object {
+        val KEY = ObjectKey(ObjectKind.LEASE, "placement")
+        val TICK = 100.milliseconds
+
+        /** An order is answered within a round trip; what arrives later is refused for its condition. */
+        val ORDER_TIME = 500.milliseconds
+
+        /** Loads that share the weight store take longer than the model's figure. */
+        const val LOAD_SLACK = 3.0
+
+        /** Covers two registrations of an endpoint and the lag of the store. */
+        val REPORT_TIME = 4.seconds
+
+        /** A refused order is weighed again after the endpoint's next registration. */
+        val REJECTED_PAUSE = 1_500.milliseconds
+
+        /** A successor takes over within about five seconds of the holder's last renewal. */
+        fun leaseSettings(self: InstanceId) =
+            LeaseSettings(
+                self = self,
+                key = KEY,
+                duration = 4.seconds,
+                renewEvery = 1.seconds,
+                margin = 300.milliseconds,
+                pollEvery = 1.seconds,
+                longestOrder = ORDER_TIME,
+                rankDelay = 100.milliseconds,
+                pauseLimit = 1.seconds,
+            )
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -0,0 +1,33 @@
+package oriolespindle.router.relay
+
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.placement.PathFinder
+import oriolespindle.core.placement.PathLoad
+import oriolespindle.core.relay.AttemptPolicy
+import oriolespindle.core.relay.ConfigurationHolder
+import oriolespindle.core.relay.EndpointDirectory
+import oriolespindle.core.relay.EndpointSelector
+import oriolespindle.core.relay.ServiceBudgets
+import oriolespindle.router.http.HttpClient
+import oriolespindle.router.runtime.TimerService
+
+/** What all requests of one relay share; it is used on the event loop only. */
+internal class RelayContext(
+    settings: RelaySettings,
+    val http: HttpClient,
+    val timers: TimerService,
+    val metrics: RelayMetrics,
+) {
+    val names: RelayHeaderNames = settings.headerNames
+    val times: RelayTimes = settings.times
+    val zone: ZoneId = settings.zone
+    val headers = RelayHeaders(names)
+    val configuration = ConfigurationHolder()
+    val directory = EndpointDirectory()
+    val budgets = ServiceBudgets(settings.budgets)
+    val policy = AttemptPolicy(budgets)
+    val selector = EndpointSelector(zone)
+    val paths = PathFinder(zone)
+    val load = PathLoad()
+    lateinit var engines: EngineCalls
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -0,0 +1,113 @@
+package oriolespindle.router.relay
+
+import oriolespindle.core.id.RequestId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.relay.RelayConfiguration
+import oriolespindle.core.relay.Route
+import oriolespindle.core.relay.RouteKind
+import oriolespindle.core.relay.RouteTable
+import oriolespindle.router.http.HttpAnswer
+import oriolespindle.router.http.ServerExchange
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Checks each request of a caller against the configuration and starts its session. */
+internal class RelayFrontEnd(
+    private val context: RelayContext,
+) {
+    /** Takes a whole request of a caller. */
+    fun arrived(exchange: ServerExchange) {
+        val configuration = context.configuration.current
+        if (configuration == null) {
+            context.metrics.refused("configuration_missing")
+            exchange.respond(RelayAnswers.refusal("configuration_missing", context.times.retryAfterStart))
+            return
+        }
+        val route = configuration.route(exchange.header("Host").orEmpty(), exchange.path)
+        if (route == null) {
+            deny(exchange, RelayAnswers.NOT_FOUND, "unknown_route", configuration)
+            return
+        }
+        val team = key(exchange)?.let(configuration::team)
+        if (configuration.requiresKeys && !route.isPublic && team == null) {
+            deny(exchange, RelayAnswers.UNAUTHORIZED, "unknown_key", configuration)
+            return
+        }
+        begin(exchange, configuration, route, team)
+    }
+
+    private fun begin(
+        exchange: ServerExchange,
+        configuration: RelayConfiguration,
+        route: Route,
+        team: TeamId?,
+    ) {
+        val now = monotonicNow()
+        val id = RequestId(exchange.header(context.names.requestId).orEmpty())
+        val service = RouteTable.target(route, id.value.hashCode())?.let(configuration::service)
+        if (service == null) {
+            deny(exchange, RelayAnswers.NOT_FOUND, "unknown_service", configuration)
+            return
+        }
+        val callerTime = exchange.header(context.names.deadline)?.trim()?.toLongOrNull()?.milliseconds
+        val request =
+            RelayRequest(
+                exchange = exchange,
+                id = id,
+                route = route,
+                service = service,
+                team = team.takeUnless { route.isPublic },
+                dropKey = configuration.requiresKeys,
+                arrived = now,
+                expiry = now + minOf(callerTime ?: route.timeout, route.timeout),
+            )
+        context.budgets.requested(now, service.id)
+        val isStream = service.model != null || route.kind == RouteKind.STREAM
+        val session =
+            if (isStream) StreamSession(context, request, service.model) else CallSession(context, request)
+        session.start()
+    }
+
+    private fun key(exchange: ServerExchange): String? {
+        val authorization = exchange.header("Authorization") ?: return null
+        val scheme = authorization.substringBefore(' ')
+        return authorization.substringAfter(' ', "").trim().takeIf { scheme.equals("Bearer", ignoreCase = true) }
+    }
+
+    private fun deny(
+        exchange: ServerExchange,
+        status: Int,
+        reason: String,
+        configuration: RelayConfiguration,
+    ) {
+        context.metrics.refused(reason)
+        EventLog.info(
+            "request denied",
+            "request" to exchange.header(context.names.requestId),
+            "host" to exchange.header("Host"),
+            "path" to exchange.path,
+            "reason" to reason,
+            "configuration" to configuration.version,
+        )
+        exchange.respond(RelayAnswers.denial(status, reason))
+    }
+
+    /** Answers the balancer's question. */
+    fun readiness(
+        exchange: ServerExchange,
+        isReady: Boolean,
+    ) {
+        if (exchange.path == METRICS_PATH) {
+            exchange.respond(HttpAnswer(OK, context.metrics.scrape().toByteArray(), contentType = "text/plain"))
+        } else {
+            exchange.respond(HttpAnswer(if (isReady) OK else UNAVAILABLE))
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val METRICS_PATH = "/metrics"
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -0,0 +1,232 @@
+package oriolespindle.router.relay
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.relay.AttemptDecision
+import oriolespindle.core.relay.AttemptEnd
+import oriolespindle.core.relay.AttemptHistory
+import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.time.Timestamp
+import oriolespindle.router.http.Address
+import oriolespindle.router.http.ClientCall
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.FailureKind
+import oriolespindle.router.http.HttpAnswer
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.runtime.monotonicNow
+import java.util.concurrent.ScheduledFuture
+import kotlin.time.Duration
+
+/**
+ * One request from its arrival to its last answer, over all its attempts.
+ *
+ * A subclass makes the attempts and reads their answers. Everything runs on the event loop.
+ */
+internal abstract class RelaySession(
+    protected val context: RelayContext,
+    protected val request: RelayRequest,
+) {
+    protected val exchange = request.exchange
+    protected val history = AttemptHistory()
+    protected val avoid = HashSet<EndpointId>()
+    protected var call: ClientCall? = null
+    protected var ended = false
+        private set
+    private var expiryTimer: ScheduledFuture<*>? = null
+    private var attemptTimer: ScheduledFuture<*>? = null
+
+    /** Makes the first attempt. */
+    fun start() {
+        exchange.onClosed = ::callerLeft
+        val left = request.expiry - monotonicNow()
+        if (left <= Duration.ZERO) {
+            refuse(reason = "deadline_passed", retryAfter = null)
+            return
+        }
+        expiryTimer = context.timers.after(left) { if (!ended) expired() }
+        attempt()
+    }
+
+    protected abstract fun attempt()
+
+    /** Whether a part of an answer has gone to the caller, so that no other status can be sent. */
+    protected abstract val answerBegun: Boolean
+
+    protected abstract fun attemptEnded()
+
+    protected fun isAnswer(answerId: String?): Boolean = answerId == null || answerId == request.id.value
+
+    protected fun send(
+        endpoint: RelayEndpoint,
+        headers: List<Pair<String, String>>,
+        maxIdle: Duration?,
+        listener: (ClientEvent) -> Unit,
+    ) {
+        val names = context.names
+        val left = request.expiry - monotonicNow()
+        val own =
+            headers + (names.deadline to left.inWholeMilliseconds.coerceAtLeast(1).toString()) +
+                (names.expectedEndpoint to endpoint.id.value)
+        val outgoing =
+            ClientRequest(
+                address = Address.parse(endpoint.address),
+                method = exchange.method,
+                uri = exchange.uri,
+                body = exchange.body,
+                relayed = context.headers.forEndpoint(exchange.requestHeaders, request.dropKey),
+                headers = request.team?.let { own + (names.team to it.value) } ?: own,
+                maxIdle = maxIdle,
+                notAfter = request.expiry,
+                isAnswer = { isAnswer(it.get(names.requestId)) },
+            )
+        var current: ClientCall? = null
+        current =
+            context.http.send(outgoing) { event ->
+                // Events of an attempt that was given up arrive late and belong to nobody.
+                if (!ended && (current == null || current === call)) listener(event)
+                true
+            }
+        call = current
+    }
+
+    protected fun watchAttempt(
+        limit: Duration,
+        action: () -> Unit,
+    ) {
+        attemptTimer?.cancel(false)
+        val watched = call
+        attemptTimer = context.timers.after(limit) { if (!ended && call === watched) action() }
+    }
+
+    protected fun stopWatching() {
+        attemptTimer?.cancel(false)
+        attemptTimer = null
+    }
+
+    /** Gives up the attempt in progress; what still arrives of it is ignored. */
+    protected fun dropCall() {
+        stopWatching()
+        val dropped = call
+        call = null
+        dropped?.cancel()
+    }
+
+    /** Decides what follows an attempt that brought no answer; [reason] is for logs and counters. */
+    protected fun attemptFailed(
+        end: AttemptEnd,
+        reason: String,
+        endpoint: EndpointId?,
+        deliver: () -> Unit = {},
+    ) {
+        stopWatching()
+        call = null
+        attemptEnded()
+        history.ended(end)
+        endpoint?.let(avoid::add)
+        val decision =
+            context.policy.decide(monotonicNow(), request.route, request.service.id, history, end, request.expiry)
+        EventLog.info(
+            "attempt failed",
+            "request" to request.id,
+            "endpoint" to endpoint,
+            "end" to end,
+            "reason" to reason,
+            "sends" to history.sends,
+            "decision" to decision,
+        )
+        when (decision) {
+            AttemptDecision.Retry -> retry(reason)
+            AttemptDecision.Deliver -> deliver()
+            is AttemptDecision.Refuse -> if (answerBegun) cut(reason) else refuse(reason, decision.retryAfter)
+            AttemptDecision.Fail -> if (answerBegun) cut(reason) else fail(BAD_GATEWAY, reason)
+        }
+    }
+
+    private fun retry(reason: String) {
+        context.metrics.retried(reason)
+        attempt()
+    }
+
+    /** Tells the caller that the request did not run and will not. */
+    protected fun refuse(
+        reason: String,
+        retryAfter: Duration?,
+    ) {
+        context.metrics.refused(reason)
+        end("refused", reason)
+        exchange.respond(RelayAnswers.refusal(reason, retryAfter))
+    }
+
+    protected fun fail(
+        status: Int,
+        reason: String,
+    ) {
+        end("failed", reason)
+        exchange.respond(RelayAnswers.failure(status, reason))
+    }
+
+    /** Ends a begun answer so that the caller sees that it is not whole. */
+    protected fun cut(reason: String) {
+        end("cut", reason)
+        exchange.abort()
+    }
+
+    protected fun done(status: Int) = end("done", status.toString())
+
+    private fun end(
+        outcome: String,
+        detail: String,
+    ) {
+        if (ended) return
+        ended = true
+        stopWatching()
+        expiryTimer?.cancel(false)
+        attemptEnded()
+        val duration = monotonicNow() - request.arrived
+        context.metrics.ended(outcome, duration)
+        EventLog.info(
+            "request ended",
+            "request" to request.id,
+            "route" to request.route.name,
+            "service" to request.service.id,
+            "outcome" to outcome,
+            "detail" to detail,
+            "sends" to history.sends,
+            "millis" to duration.inWholeMilliseconds,
+            "configuration" to context.configuration.current?.version,
+        )
+    }
+
+    private fun expired() {
+        val sent = history.mayHaveRun || call?.sent == true
+        dropCall()
+        when {
+            answerBegun -> cut("timeout")
+            sent -> fail(GATEWAY_TIMEOUT, "timeout")
+            else -> refuse("timeout", retryAfter = null)
+        }
+    }
+
+    private fun callerLeft() {
+        if (ended) return
+        dropCall()
+        end("left", "caller closed the connection")
+    }
+
+    protected fun elapsed(since: Timestamp): Duration = monotonicNow() - since
+
+    protected companion object {
+        const val BAD_GATEWAY = 502
+        const val GATEWAY_TIMEOUT = 504
+        const val MISDIRECTED = 421
+        const val SUCCESS_FIRST = 200
+        const val SUCCESS_LAST = 299
+
+        /** How a failed attempt of the HTTP client counts: only a request that was never sent certainly did not run. */
+        fun endOf(event: ClientEvent.Failed): AttemptEnd = if (event.sent) AttemptEnd.Unknown else AttemptEnd.NotSent
+
+        /** Whether a failure says something about the whole endpoint and not only about one connection or request. */
+        fun concernsEndpoint(event: ClientEvent.Failed): Boolean =
+            event.kind == FailureKind.CONNECT_FAILED || event.kind == FailureKind.CONNECTION_LOST
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -0,0 +1,214 @@
+package oriolespindle.router.relay
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.placement.LayerPath
+import oriolespindle.core.placement.ModelLayout
+import oriolespindle.core.relay.AttemptEnd
+import oriolespindle.core.relay.EventFramer
+import oriolespindle.core.relay.EventVerdict
+import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.relay.StreamPosition
+import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.logging.EventLog
+import oriolespindle.router.runtime.monotonicNow
+import java.io.ByteArrayOutputStream
+
+/**
+ * A request whose answer is a stream of events from a path of engines.
+ *
+ * Only whole events are passed on. A broken run of a resumable stream is followed by one that goes on after the last
+ * event, within the same answer.
+ */
+internal class StreamSession(
+    context: RelayContext,
+    request: RelayRequest,
+    private val model: ModelLayout?,
+) : RelaySession(context, request) {
+    private val framer = EventFramer()
+    private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
+    private val failureBody = ByteArrayOutputStream()
+    private val tokens = requestTokens()
+    private var path: LayerPath? = null
+    private var first: RelayEndpoint? = null
+    private var head: ClientEvent.Head? = null
+    private var forwarded = 0
+
+    override val answerBegun: Boolean get() = forwarded > 0
+
+    override fun attempt() {
+        val target = chooseTarget()
+        if (target == null) {
+            attemptFailed(AttemptEnd.NotSent, "no_path", endpoint = null)
+            return
+        }
+        first = target
+        head = null
+        framer.reset()
+        failureBody.reset()
+        if (answerBegun) position.resumed()
+        path?.let { context.load.started(it, tokens) }
+        exchange.onWritable = { writable -> if (writable) call?.resumeReading() else call?.pauseReading() }
+        send(target, pathHeaders(), maxIdle = null, ::handle)
+        watchAttempt(context.times.firstEvent, ::stalled)
+    }
+
+    /** Returns the endpoint to send to; for a model it is the first of a path, which is kept in [path]. */
+    private fun chooseTarget(): RelayEndpoint? {
+        val now = monotonicNow()
+        val endpoints = context.directory.usable(now, request.service.id)
+        if (model == null) return context.selector.choose(now, endpoints, avoid)
+        path = context.paths.find(model, endpoints, ::load, avoid) ?: context.paths.find(model, endpoints, ::load)
+        return path?.first
+    }
+
+    override fun attemptEnded() {
+        path?.let { context.load.finished(it, tokens) }
+        path = null
+        first = null
+    }
+
+    private fun pathHeaders(): List<Pair<String, String>> {
+        val parts = path?.parts?.joinToString(",") { "${it.endpoint.address}=${it.layers.first}-${it.layers.end}" }
+        val resume = position.last?.takeIf { answerBegun }?.let { LAST_EVENT_ID to it.toString() }
+        return listOfNotNull(resume, parts?.let { context.names.path to it })
+    }
+
+    private fun handle(event: ClientEvent) {
+        when (event) {
+            is ClientEvent.Head -> head = event
+            is ClientEvent.Data -> if (isStream()) events(event.bytes) else failureBody.writeBytes(event.bytes)
+            is ClientEvent.End -> head?.let(::completed)
+            is ClientEvent.Failed -> broken(event)
+        }
+    }
+
+    private fun isStream(): Boolean {
+        val current = head ?: return false
+        val signed = current.headers.contains(context.names.signature)
+        val encoded = current.headers.contains(HttpHeaderNames.CONTENT_ENCODING)
+        return current.status in SUCCESS_FIRST..SUCCESS_LAST && signed && !encoded
+    }
+
+    private fun events(bytes: ByteArray) {
+        for (record in framer.feed(bytes)) {
+            when (position.accept(record.id)) {
+                EventVerdict.FORWARD -> forward(record.bytes)
+
+                EventVerdict.DUPLICATE -> Unit
+
+                EventVerdict.GAP -> {
+                    dropCall()
+                    attemptFailed(AttemptEnd.Unknown, "event_missing", first?.id)
+                    return
+                }
+            }
+        }
+    }
+
+    private fun forward(event: ByteArray) {
+        if (forwarded == 0) {
+            context.metrics.answered(elapsed(request.arrived))
+            val first = checkNotNull(head)
+            exchange.beginRelay(first.status, context.headers.forCaller(first.headers))
+        }
+        forwarded++
+        path?.parts?.forEach { context.directory.succeeded(it.endpoint.id) } ?: first?.let { context.directory.succeeded(it.id) }
+        exchange.writeChunk(event)
+        watchAttempt(context.times.eventGap, ::stalled)
+    }
+
+    private fun completed(head: ClientEvent.Head) {
+        val first = first ?: return
+        val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
+        when {
+            refused -> notRun(head, first)
+            isStream() -> streamEnded(first.id)
+            !head.headers.contains(context.names.signature) -> attemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
+            answerBegun -> attemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { cut("endpoint_error") }
+            else -> attemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head) }
+        }
+    }
+
+    private fun streamEnded(first: EndpointId) {
+        if (framer.hasPartialEvent) {
+            attemptFailed(AttemptEnd.Unknown, "event_cut", first)
+            return
+        }
+        val current = checkNotNull(head)
+        if (forwarded == 0) exchange.beginRelay(current.status, context.headers.forCaller(current.headers))
+        done(current.status)
+        exchange.endStream()
+    }
+
+    private fun deliverFailure(head: ClientEvent.Head) {
+        done(head.status)
+        exchange.relay(head.status, context.headers.forCaller(head.headers), failureBody.toByteArray())
+    }
+
+    private fun notRun(
+        head: ClientEvent.Head,
+        first: RelayEndpoint,
+    ) {
+        val faulty = head.headers.get(context.names.faultyEndpoint)?.let(context.directory::at) ?: first
+        context.directory.failed(monotonicNow(), faulty.id)
+        attemptFailed(AttemptEnd.NotRun, "endpoint_refused", faulty.id)
+    }
+
+    private fun broken(event: ClientEvent.Failed) {
+        val first = first?.id
+        if (first != null && concernsEndpoint(event)) context.directory.failed(monotonicNow(), first)
+        attemptFailed(endOf(event), event.kind.name.lowercase(), first)
+    }
+
+    /** No event arrived in time; the first endpoint knows whether it waits for another one. */
+    private fun stalled() {
+        val target = first ?: return
+        if (call?.sent != true || model == null) {
+            giveUp(target.id)
+            return
+        }
+        val asked = call
+        val eventsBefore = forwarded
+        val isCurrent = { !ended && call === asked && forwarded == eventsBefore }
+        watchAttempt(context.times.diagnosis + context.times.patience) { giveUp(target.id) }
+        context.engines.stalledAt(target, request.id.value) { report ->
+            if (isCurrent()) {
+                EventLog.info("stream makes no progress", "request" to request.id, "first" to target.id, "report" to report)
+                when (report) {
+                    is StallReport.WaitsFor -> giveUp(context.directory.at(report.address)?.id ?: target.id)
+                    StallReport.Alive -> Unit
+                    StallReport.NoAnswer -> giveUp(target.id)
+                }
+            }
+        }
+    }
+
+    private fun giveUp(culprit: EndpointId) {
+        val sent = call?.sent == true
+        context.directory.failed(monotonicNow(), culprit)
+        dropCall()
+        attemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, "stalled", culprit)
+    }
+
+    private fun load(endpoint: EndpointId): Double {
+        val registered = context.directory.find(endpoint)
+        val layers = registered?.layers?.size
+        val accelerator = model?.accelerators?.get(registered?.accelerator)
+        if (model == null || accelerator == null || layers == null) return 1.0
+        return context.load.used(model, accelerator, endpoint, layers)
+    }
+
+    /** The caller's prompt and the usual answer, if it allows one that long. */
+    private fun requestTokens(): Int {
+        val parts = exchange.header(context.names.tokens)?.split(',').orEmpty()
+        val usualAnswer = model?.usualAnswerTokens ?: 0
+        val prompt = parts.getOrNull(0)?.trim()?.toIntOrNull() ?: model?.usualPromptTokens ?: 0
+        val answer = parts.getOrNull(1)?.trim()?.toIntOrNull() ?: usualAnswer
+        return prompt + minOf(answer, usualAnswer)
+    }
+
+    private companion object {
+        const val LAST_EVENT_ID = "Last-Event-ID"
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/TimerService.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/TimerService.kt
@@ -2,6 +2,7 @@
 
 import oriolespindle.core.time.Timestamp
 import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -10,13 +11,14 @@
 internal fun monotonicNow(): Timestamp = Timestamp(System.nanoTime())
 
 /** Calls subscribers at fixed intervals on one thread; a subscriber only posts a message to its component. */
-internal class TimerService : AutoCloseable {
-    private val executor =
+public class TimerService(
+    private val executor: ScheduledExecutorService =
         Executors.newSingleThreadScheduledExecutor { task ->
             Thread(task, "timer").apply { isDaemon = true }
-        }
-
-    fun every(
+        },
+) : AutoCloseable {
+    /** Calls [subscriber] again and again, each time [period] after the last call has returned. */
+    public fun every(
         period: Duration,
         subscriber: () -> Unit,
     ): ScheduledFuture<*> {
@@ -24,7 +26,8 @@
         return executor.scheduleWithFixedDelay(subscriber, nanos, nanos, TimeUnit.NANOSECONDS)
     }
 
-    fun after(
+    /** Calls [subscriber] once after [delay]. */
+    public fun after(
         delay: Duration,
         subscriber: () -> Unit,
     ): ScheduledFuture<*> = executor.schedule(subscriber, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
@@ -24,7 +24,8 @@
     val tlsKey: String?,
 )
 
-internal enum class LogFormat { TEXT, JSON }
+/** The form of log lines. */
+public enum class LogFormat { TEXT, JSON }
 
 /** A value that must not appear in logs or output. */
 @JvmInline
