--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
@@ -72,7 +72,11 @@
         val previous: Step?,
         val length: Int,
     ) {
-        fun uses(endpoint: EndpointId): Boolean = generateSequence(this) { it.previous }.any { it.part?.endpoint?.id == endpoint }
+        fun uses(endpoint: EndpointId): Boolean =
+            generateSequence(this) { it.previous }.any {
+                it.part?.endpoint?.id ==
+                    endpoint
+            }
     }
 
     /** Dijkstra over layer boundaries; positions only grow, so one pass in their order settles them. */
@@ -133,7 +137,8 @@
     private fun layerMillis(
         model: ModelLayout,
         endpoint: RelayEndpoint,
-    ): Double = model.stepMillis * model.accelerators.getValue(checkNotNull(endpoint.accelerator)).stepFactor / model.layers
+    ): Double =
+        model.stepMillis * model.accelerators.getValue(checkNotNull(endpoint.accelerator)).stepFactor / model.layers
 
     private fun loadFactor(load: Double): Double =
         if (load >= settings.fullAt) FULL else 1 + settings.loadWeight * load * load
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -44,7 +44,15 @@
         listener: ClientListener,
     ): ClientCall {
         val call = ClientCall(listener)
-        val pooled = if (request.freshConnection) null else pool.take(request.address, request.maxIdle ?: settings.maxIdle)
+        val pooled =
+            if (request.freshConnection) {
+                null
+            } else {
+                pool.take(
+                    request.address,
+                    request.maxIdle ?: settings.maxIdle,
+                )
+            }
         if (pooled != null) {
             pooled.eventLoop().execute { begin(call, request, pooled) }
         } else {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
@@ -103,7 +103,10 @@
 
     private fun place() {
         val now = monotonicNow()
-        val services = context.configuration.current?.modelServices.orEmpty()
+        val services =
+            context.configuration.current
+                ?.modelServices
+                .orEmpty()
         for (service in services) {
             val endpoints = context.directory.registered(now, service.id)
             settle(now, endpoints)
@@ -120,7 +123,8 @@
         val byId = endpoints.associateBy { it.id }
         planned.entries.removeIf { (id, plan) ->
             val endpoint = byId[id]
-            endpoint == null || endpoint.layers == plan.layers || endpoint.startedAt != plan.startedAt || now >= plan.giveUpAt
+            endpoint == null || endpoint.layers == plan.layers || endpoint.startedAt != plan.startedAt ||
+                now >= plan.giveUpAt
         }
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
@@ -38,5 +38,6 @@
         reason: String,
     ): String = """{"error":{"outcome":"$outcome","reason":"$reason"}}"""
 
-    private fun seconds(duration: Duration): String = "%.3f".format(java.util.Locale.ROOT, duration.toDouble(DurationUnit.SECONDS))
+    private fun seconds(duration: Duration): String =
+        "%.3f".format(java.util.Locale.ROOT, duration.toDouble(DurationUnit.SECONDS))
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -50,7 +50,12 @@
             deny(exchange, RelayAnswers.NOT_FOUND, "unknown_service", configuration)
             return
         }
-        val callerTime = exchange.header(context.names.deadline)?.trim()?.toLongOrNull()?.milliseconds
+        val callerTime =
+            exchange
+                .header(context.names.deadline)
+                ?.trim()
+                ?.toLongOrNull()
+                ?.milliseconds
         val request =
             RelayRequest(
                 exchange = exchange,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -93,9 +93,13 @@
     private fun events(bytes: ByteArray) {
         for (record in framer.feed(bytes)) {
             when (position.accept(record.id)) {
-                EventVerdict.FORWARD -> forward(record.bytes)
+                EventVerdict.FORWARD -> {
+                    forward(record.bytes)
+                }
 
-                EventVerdict.DUPLICATE -> Unit
+                EventVerdict.DUPLICATE -> {
+                    Unit
+                }
 
                 EventVerdict.GAP -> {
                     dropCall()
@@ -113,7 +117,8 @@
             exchange.beginRelay(first.status, context.headers.forCaller(first.headers))
         }
         forwarded++
-        path?.parts?.forEach { context.directory.succeeded(it.endpoint.id) } ?: first?.let { context.directory.succeeded(it.id) }
+        path?.parts?.forEach { context.directory.succeeded(it.endpoint.id) }
+            ?: first?.let { context.directory.succeeded(it.id) }
         exchange.writeChunk(event)
         watchAttempt(context.times.eventGap, ::stalled)
     }
@@ -123,9 +128,15 @@
         val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
         when {
             refused -> notRun(head, first)
+
             isStream() -> streamEnded(first.id)
-            !head.headers.contains(context.names.signature) -> attemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
+
+            !head.headers.contains(
+                context.names.signature,
+            ) -> attemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
+
             answerBegun -> attemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { cut("endpoint_error") }
+
             else -> attemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head) }
         }
     }
@@ -174,7 +185,12 @@
         watchAttempt(context.times.diagnosis + context.times.patience) { giveUp(target.id) }
         context.engines.stalledAt(target, request.id.value) { report ->
             if (isCurrent()) {
-                EventLog.info("stream makes no progress", "request" to request.id, "first" to target.id, "report" to report)
+                EventLog.info(
+                    "stream makes no progress",
+                    "request" to request.id,
+                    "first" to target.id,
+                    "report" to report,
+                )
                 when (report) {
                     is StallReport.WaitsFor -> giveUp(context.directory.at(report.address)?.id ?: target.id)
                     StallReport.Alive -> Unit
