Close connections that carry bytes after a whole answer; test the relay with scripted endpoints

Cause: a test that answers with bytes after a whole response failed (the next request on the connection was answered as malformed), since the decoder kept the bytes for the next response.

Change: a connection with unread bytes is neither pooled nor used again. Tests of routes, directory, attempts, budgets, framing, selection, placement and paths in the core, and of the whole relay over raw sockets.

--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
@@ -0,0 +1,103 @@
+package oriolespindle.core.placement
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.LayerRange
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.relay.RelayEndpoint
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isTrue
+import java.util.SplittableRandom
+
+class LayerPlacerTest {
+    private val model = ModelFleet.model
+    private val placer = LayerPlacer()
+
+    private fun orders(endpoints: List<RelayEndpoint>) = placer.orders(model, endpoints, emptyMap())
+
+    private fun zonesWithAllLayers(endpoints: List<RelayEndpoint>): Set<ZoneId> =
+        endpoints
+            .groupBy { it.zone }
+            .filterValues { members ->
+                (0 until model.layers).all { layer ->
+                    members.any { it.layers?.contains(LayerRange(layer, layer + 1)) ?: false }
+                }
+            }.keys
+
+    @Test
+    fun `guards against a zone that cannot serve alone`() {
+        expectThat(zonesWithAllLayers(ModelFleet.placed())).isEqualTo(setOf(ZoneId("a"), ZoneId("b"), ZoneId("c")))
+    }
+
+    @Test
+    fun `guards against an order over an endpoint's memory or without room for requests`() {
+        for (endpoint in ModelFleet.placed()) {
+            val held = checkNotNull(endpoint.layers)
+            val accelerator = model.accelerators.getValue(checkNotNull(endpoint.accelerator))
+            val usual = model.usualPromptTokens + model.usualAnswerTokens
+            expectThat(held.size * model.layerMb).isGreaterThan(0.0)
+            expectThat(model.tokenCapacity(accelerator, held.size))
+                .isGreaterThanOrEqualTo(PlacementSettings().leastRequests.toDouble() * usual)
+        }
+    }
+
+    @Test
+    fun `guards against moving layers that nothing requires to move`() {
+        expectThat(orders(ModelFleet.placed())).isEmpty()
+    }
+
+    @Test
+    fun `guards against an order that is given again while it is carried out`() {
+        val endpoints = ModelFleet.endpoints()
+        val given = orders(endpoints).associate { it.endpoint.id to it.layers }
+
+        expectThat(placer.orders(model, endpoints, given)).isEmpty()
+    }
+
+    @Test
+    fun `guards against a restarted endpoint staying empty`() {
+        val placed = ModelFleet.placed()
+        for (lost in placed) {
+            val now = placed.map { if (it.id == lost.id) it.copy(layers = null, startedAt = 2) else it }
+            expectThat(orders(now).map { it.endpoint.id }).isEqualTo(listOf(lost.id))
+            expectThat(zonesWithAllLayers(ModelFleet.carryOut(now, orders(now))).size).isEqualTo(3)
+        }
+    }
+
+    @Test
+    fun `guards against a hole that stays after an endpoint is gone for good`() {
+        val placed = ModelFleet.placed()
+        for (lost in placed) {
+            var now = placed.filter { it.id != lost.id }
+            repeat(4) { now = ModelFleet.carryOut(now, orders(now)) }
+            expectThat(zonesWithAllLayers(now).size).isEqualTo(3)
+        }
+    }
+
+    @Test
+    fun `guards against layers being lost when endpoints come and go`() {
+        val random = SplittableRandom(11)
+        repeat(20) {
+            var now = ModelFleet.placed()
+            repeat(30) {
+                val hit = now[random.nextInt(now.size)]
+                now = now.map { if (it.id == hit.id) it.copy(layers = null, startedAt = it.startedAt + 1) else it }
+                repeat(3) { now = ModelFleet.carryOut(now, orders(now)) }
+                expectThat(zonesWithAllLayers(now).size).isEqualTo(3)
+            }
+        }
+    }
+
+    @Test
+    fun `guards against a leaving endpoint counting as a holder or getting an order`() {
+        val placed = ModelFleet.placed()
+        val leaving = placed.first { it.accelerator == "large" && it.zone == ZoneId("a") }
+        val now = placed.map { if (it.id == leaving.id) it.copy(isLeaving = true) else it }
+        val given = orders(now)
+
+        expectThat(given.none { it.endpoint.id == leaving.id }).isTrue()
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/PathFinderTest.kt
@@ -0,0 +1,94 @@
+package oriolespindle.core.placement
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.LayerRange
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.relay.RelayEndpoint
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class PathFinderTest {
+    private val model = ModelFleet.model
+    private val finder = PathFinder(ZoneId("a"))
+
+    private fun find(
+        endpoints: List<RelayEndpoint>,
+        load: (EndpointId) -> Double = { 0.0 },
+        avoid: Set<EndpointId> = emptySet(),
+    ) = finder.find(model, endpoints, load, avoid)
+
+    private fun runsEachLayerOnce(path: LayerPath): Boolean {
+        val starts = path.parts.map { it.layers.first }
+        val ends = path.parts.map { it.layers.end }
+        val joined = starts.first() == 0 && ends.last() == model.layers && starts.drop(1) == ends.dropLast(1)
+        val held = path.parts.all { it.layers in checkNotNull(it.endpoint.layers) }
+        return joined && held && path.parts.distinctBy { it.endpoint.id }.size == path.parts.size
+    }
+
+    @Test
+    fun `guards against a layer that is missing, repeated or not held`() {
+        val path = find(ModelFleet.placed())
+
+        expectThat(path).isNotNull().get { runsEachLayerOnce(this) }.isTrue()
+    }
+
+    @Test
+    fun `guards against a broken path after the loss of any endpoint`() {
+        val placed = ModelFleet.placed()
+        for (lost in placed) {
+            val path = find(placed, avoid = setOf(lost.id))
+            expectThat(
+                path,
+            ).isNotNull().get { runsEachLayerOnce(this) && parts.none { it.endpoint.id == lost.id } }.isTrue()
+        }
+    }
+
+    @Test
+    fun `guards against paths that cross zones while one zone has all layers`() {
+        val placed = ModelFleet.placed()
+        val broken = placed.filterNot { it.zone == ZoneId("a") && checkNotNull(it.layers).first == 0 }
+        val path = find(broken)
+
+        expectThat(path).isNotNull().get { parts.map { it.endpoint.zone }.distinct().size }.isEqualTo(1)
+        expectThat(path).isNotNull().get { first.zone != ZoneId("a") }.isTrue()
+    }
+
+    @Test
+    fun `guards against refusing what only several zones together can serve`() {
+        val halves =
+            listOf(
+                ModelFleet.endpoint("x", "b", "large", LayerRange(0, 41)),
+                ModelFleet.endpoint("y", "c", "large", LayerRange(39, 80)),
+            )
+
+        expectThat(find(halves)).isNotNull().get { runsEachLayerOnce(this) }.isTrue()
+        expectThat(find(halves.take(1))).isNull()
+    }
+
+    @Test
+    fun `guards against sending work to a full zone while another has room`() {
+        val placed = ModelFleet.placed()
+        val own = placed.filter { it.zone == ZoneId("a") }.mapTo(HashSet()) { it.id }
+        val path = find(placed, load = { if (it in own) 1.0 else 0.0 })
+
+        expectThat(path).isNotNull().get { first.zone != ZoneId("a") }.isTrue()
+    }
+
+    @Test
+    fun `guards against load that stays after its request has ended`() {
+        val load = PathLoad()
+        val path = checkNotNull(find(ModelFleet.placed()))
+        val first = path.parts.first()
+        val accelerator = model.accelerators.getValue(checkNotNull(first.endpoint.accelerator))
+        load.started(path, 1_000)
+        val used = load.used(model, accelerator, first.endpoint.id, first.layers.size)
+        load.finished(path, 1_000)
+
+        expectThat(used > 0).isTrue()
+        expectThat(load.used(model, accelerator, first.endpoint.id, first.layers.size)).isEqualTo(0.0)
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AttemptPolicyTest.kt
@@ -0,0 +1,106 @@
+package oriolespindle.core.relay
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.time.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class AttemptPolicyTest {
+    private val start = Timestamp.ZERO
+    private val service = ServiceId("s")
+    private val budgets = ServiceBudgets(ServiceBudgetSettings(ratio = 0.0, burst = 1_000))
+    private val policy = AttemptPolicy(budgets)
+
+    private fun route(
+        kind: RouteKind,
+        isResumable: Boolean = false,
+        maxAttempts: Int = 2,
+    ) = Route(
+        name = "r",
+        host = "h",
+        pathPrefix = "/",
+        kind = kind,
+        targets = listOf(RouteTarget(service)),
+        timeout = 10.seconds,
+        objective = 1.seconds,
+        maxAttempts = maxAttempts,
+        isResumable = isResumable,
+    )
+
+    private fun decide(
+        route: Route,
+        vararg ends: AttemptEnd,
+        left: kotlin.time.Duration = 1.seconds,
+    ): AttemptDecision {
+        val history = AttemptHistory()
+        ends.forEach(history::ended)
+        return policy.decide(start, route, service, history, ends.last(), start + left)
+    }
+
+    @Test
+    fun `guards against repeating a non-idempotent request that may have run`() {
+        val route = route(RouteKind.NON_IDEMPOTENT, maxAttempts = 5)
+
+        expectThat(decide(route, AttemptEnd.Unknown)).isEqualTo(AttemptDecision.Fail)
+        expectThat(decide(route, AttemptEnd.Failed)).isEqualTo(AttemptDecision.Deliver)
+        expectThat(decide(route(RouteKind.STREAM), AttemptEnd.Unknown)).isEqualTo(AttemptDecision.Fail)
+    }
+
+    @Test
+    fun `guards against saying not run after an attempt that may have run`() {
+        val route = route(RouteKind.IDEMPOTENT, maxAttempts = 2)
+
+        expectThat(decide(route, AttemptEnd.Unknown, AttemptEnd.NotRun)).isEqualTo(AttemptDecision.Fail)
+        expectThat(decide(route, AttemptEnd.NotRun, AttemptEnd.NotRun)).isA<AttemptDecision.Refuse>()
+    }
+
+    @Test
+    fun `guards against giving up what certainly did not run`() {
+        val route = route(RouteKind.NON_IDEMPOTENT, maxAttempts = 1)
+
+        expectThat(decide(route, AttemptEnd.NotSent)).isEqualTo(AttemptDecision.Retry)
+        expectThat(decide(route(RouteKind.NON_IDEMPOTENT), AttemptEnd.NotRun)).isEqualTo(AttemptDecision.Retry)
+    }
+
+    @Test
+    fun `guards against more attempts than the route allows or after the caller's time`() {
+        val route = route(RouteKind.IDEMPOTENT, maxAttempts = 2)
+
+        expectThat(decide(route, AttemptEnd.Unknown)).isEqualTo(AttemptDecision.Retry)
+        expectThat(decide(route, AttemptEnd.Unknown, AttemptEnd.Unknown)).isEqualTo(AttemptDecision.Fail)
+        expectThat(decide(route, AttemptEnd.Unknown, left = 10.milliseconds)).isEqualTo(AttemptDecision.Fail)
+    }
+
+    @Test
+    fun `guards against a resumable stream ending with its first run`() {
+        val route = route(RouteKind.STREAM, isResumable = true)
+
+        expectThat(decide(route, AttemptEnd.Unknown)).isEqualTo(AttemptDecision.Retry)
+    }
+
+    @Test
+    fun `guards against instances together repeating more than the shared budget`() {
+        val settings = ServiceBudgetSettings(ratio = 0.2, burst = 100, window = 10.seconds)
+        val instances = List(9) { ServiceBudgets(settings).apply { instances = 9 } }
+        instances.forEach { budget -> repeat(50) { budget.requested(start, service) } }
+        val taken = instances.sumOf { budget -> (1..200).count { budget.takeRetry(start + 1.seconds, service) } }
+
+        expectThat(taken <= 0.2 * 450 + 100).isTrue()
+        expectThat(taken >= 0.7 * (0.2 * 450 + 100)).isTrue()
+    }
+
+    @Test
+    fun `guards against a retry budget that does not recover`() {
+        val budget = ServiceBudgets(ServiceBudgetSettings(ratio = 0.0, burst = 10)).apply { instances = 1 }
+        repeat(8) { expectThat(budget.takeRetry(start, service)).isTrue() }
+
+        expectThat(budget.takeRetry(start + 9.seconds, service)).isFalse()
+        expectThat(budget.takeRetry(start + 11.seconds, service)).isTrue()
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -0,0 +1,96 @@
+package oriolespindle.core.relay
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.time.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EndpointDirectoryTest {
+    private val start = Timestamp.ZERO
+    private val service = ServiceId("s")
+    private val directory = EndpointDirectory()
+
+    private fun endpoint(
+        id: String,
+        startedAt: Long = 1,
+        isLeaving: Boolean = false,
+        address: String = "10.0.0.1:80",
+    ) = RelayEndpoint(EndpointId(id), service, address, ZoneId("z"), startedAt, slots = 4, isLeaving = isLeaving)
+
+    private fun usable(at: Timestamp = start) = directory.usable(at, service).map { it.id.value }
+
+    @Test
+    fun `guards against a removed registration that is still used while the store answers`() {
+        directory.replaceAll(start, listOf(endpoint("a"), endpoint("b")))
+        directory.remove(start, EndpointId("a"))
+
+        expectThat(usable()).containsExactly("b")
+    }
+
+    @Test
+    fun `guards against losing endpoints whose registrations lapsed with the store`() {
+        directory.replaceAll(start, listOf(endpoint("a"), endpoint("b")))
+        directory.storeLost()
+        directory.remove(start, EndpointId("a"))
+        val back = start + 10.seconds
+        directory.storeRegained(back)
+        directory.replaceAll(back, emptyList())
+
+        expectThat(usable(back + 2.seconds).sorted()).containsExactly("a", "b")
+        directory.put(endpoint("a"))
+        expectThat(usable(back + 3.seconds)).containsExactly("a")
+    }
+
+    @Test
+    fun `guards against an endpoint that leaves being brought back by an older registration`() {
+        directory.put(endpoint("a"))
+        directory.put(endpoint("a", isLeaving = true))
+        directory.put(endpoint("a"))
+        expectThat(usable()).isEmpty()
+
+        directory.put(endpoint("a", startedAt = 2))
+        expectThat(usable()).containsExactly("a")
+        directory.put(endpoint("a", startedAt = 1, isLeaving = true))
+        expectThat(usable()).containsExactly("a")
+    }
+
+    @Test
+    fun `guards against a failed endpoint being tried at once, or never again`() {
+        directory.put(endpoint("a"))
+        directory.failed(start, EndpointId("a"))
+
+        expectThat(usable(start + 200.milliseconds)).isEmpty()
+        expectThat(usable(start + 250.milliseconds)).containsExactly("a")
+        directory.failed(start + 250.milliseconds, EndpointId("a"))
+        expectThat(usable(start + 700.milliseconds)).isEmpty()
+        directory.succeeded(EndpointId("a"))
+        expectThat(usable(start + 700.milliseconds)).containsExactly("a")
+    }
+
+    @Test
+    fun `guards against the pause after failures growing without bound`() {
+        directory.put(endpoint("a"))
+        var now = start
+        repeat(20) {
+            directory.failed(now, EndpointId("a"))
+            now = now + 2.seconds
+        }
+
+        expectThat(usable(now)).containsExactly("a")
+    }
+
+    @Test
+    fun `guards against taking the former user of an address for the present one`() {
+        directory.put(endpoint("old", startedAt = 1))
+        directory.put(endpoint("new", startedAt = 5))
+
+        expectThat(directory.at("10.0.0.1:80")?.id?.value).isEqualTo("new")
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EventFramerTest.kt
@@ -0,0 +1,65 @@
+package oriolespindle.core.relay
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import java.util.SplittableRandom
+
+class EventFramerTest {
+    private val framer = EventFramer()
+
+    private fun feed(text: String) = framer.feed(text.toByteArray()).map { it.id to it.bytes.decodeToString() }
+
+    @Test
+    fun `guards against passing on a part of an event`() {
+        expectThat(feed("id: 1\ndata: a\n\nid: 2\nda")).containsExactly(1L to "id: 1\ndata: a\n\n")
+        expectThat(framer.hasPartialEvent).isTrue()
+        expectThat(feed("ta: b\n")).isEmpty()
+        expectThat(feed("\n")).containsExactly(2L to "id: 2\ndata: b\n\n")
+        expectThat(framer.hasPartialEvent).isFalse()
+    }
+
+    @Test
+    fun `guards against joining the cut event of one run to the bytes of the next`() {
+        feed("id: 1\ndata: a\n\nid: 2\ndata: b")
+        framer.reset()
+
+        expectThat(feed("id: 2\ndata: b\n\n")).containsExactly(2L to "id: 2\ndata: b\n\n")
+    }
+
+    @Test
+    fun `guards against bytes being lost at any cut`() {
+        val text = (1..50).joinToString("") { "versions: 3\nid: $it\ndata: ${"x".repeat(it)}\r\n\r\n" }
+        val random = SplittableRandom(7)
+        repeat(50) {
+            val framer = EventFramer()
+            val bytes = text.toByteArray()
+            var position = 0
+            val records = ArrayList<StreamRecord>()
+            while (position < bytes.size) {
+                val end = minOf(bytes.size, position + 1 + random.nextInt(40))
+                records += framer.feed(bytes.copyOfRange(position, end))
+                position = end
+            }
+            expectThat(records.joinToString("") { it.bytes.decodeToString() }).isEqualTo(text)
+            expectThat(records.map { it.id }).isEqualTo((1L..50L).toList())
+        }
+    }
+
+    @Test
+    fun `guards against events that are missing or come twice where runs are joined`() {
+        val position = StreamPosition(startAfter = null)
+        expectThat((1L..3L).map { position.accept(it) }.distinct()).containsExactly(EventVerdict.FORWARD)
+        position.resumed()
+
+        expectThat(position.accept(3)).isEqualTo(EventVerdict.DUPLICATE)
+        expectThat(position.accept(4)).isEqualTo(EventVerdict.FORWARD)
+        position.resumed()
+        expectThat(position.accept(6)).isEqualTo(EventVerdict.GAP)
+        expectThat(position.last).isEqualTo(4)
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -188,11 +188,15 @@
     ) {
         current = null
         // A server may answer before it has read the request; the rest of the body must not be taken for the next one.
-        val reusable = keepAlive && requestWritten?.isSuccess == true
+        val reusable = keepAlive && requestWritten?.isSuccess == true && !hasUnreadBytes(ctx)
         call.deliver(ClientEvent.End)
         if (call.detach() && reusable) pool.put(address, ctx.channel(), keepAliveTime) else ctx.close()
     }
 
+    /** Bytes after a whole response belong to no request, so nothing more is read from their connection. */
+    private fun hasUnreadBytes(ctx: ChannelHandlerContext): Boolean =
+        ctx.pipeline().get(ResponseDecoder::class.java)?.hasUnreadBytes ?: false
+
     /** Returns how long the server keeps an idle connection, less the time in which its close may be on the way. */
     private fun keepAliveTime(headers: HttpHeaders): Duration? {
         val seconds = KEEP_ALIVE_TIMEOUT.find(headers.get("Keep-Alive").orEmpty())?.groupValues?.get(1)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -11,11 +11,9 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import oriolespindle.router.runtime.monotonicNow
@@ -86,8 +84,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         // The codec for clients would pair responses with requests and fail on one that is too many.
-                        val decoder = HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES))
-                        channel.pipeline().addLast(HttpRequestEncoder(), decoder, ClientCallHandler(address, pool))
+                        channel.pipeline().addLast(HttpRequestEncoder(), ResponseDecoder(), ClientCallHandler(address, pool))
                     }
                 },
             ).connect(address.toSocketAddress())
@@ -109,8 +106,9 @@
         request: ClientRequest,
         channel: Channel,
     ) {
-        if (!channel.isActive) {
-            // The server closed the pooled connection before anything was written to it.
+        if (!channel.isActive || channel.pipeline().get(ResponseDecoder::class.java).hasUnreadBytes) {
+            // The server closed the pooled connection, or sent bytes that nobody asked for, before it was used again.
+            channel.close()
             connect(request.address).addListener(
                 ChannelFutureListener { future -> connected(call, request, future) },
             )
@@ -148,8 +146,6 @@
     }
 
     private companion object {
-        /** Responses of endpoints carry headers of their own; this bounds memory and not what they may say. */
-        const val MAX_HEADER_BYTES = 65_536
         val WITHOUT_BODY = setOf("GET", "HEAD", "OPTIONS", "DELETE")
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -16,6 +16,7 @@
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -28,7 +29,7 @@
 public class Relay(
     private val settings: RelaySettings,
     private val onStopped: () -> Unit,
-) {
+) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     /** The client for all calls of this process. */
@@ -124,6 +125,11 @@
         shutdown.request()
     }
 
+    /** Ends the event loop at once, whatever is in flight. */
+    override fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly()
+    }
+
     private fun perform(action: ShutdownAction) {
         when (action) {
             ShutdownAction.ReportUnready -> {
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -0,0 +1,243 @@
+package oriolespindle.router.relay
+
+import oriolespindle.core.config.ObjectKey
+import oriolespindle.core.config.WriteAction
+import oriolespindle.core.config.WriteEvent
+import oriolespindle.core.id.InstanceId
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.id.TeamId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.lifecycle.ShutdownSettings
+import oriolespindle.core.placement.LayerOrder
+import oriolespindle.core.placement.ModelLayout
+import oriolespindle.core.relay.RelayConfiguration
+import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.relay.RelayService
+import oriolespindle.core.relay.Route
+import oriolespindle.core.relay.RouteKind
+import oriolespindle.core.relay.RouteTarget
+import oriolespindle.core.relay.ServiceBudgetSettings
+import oriolespindle.router.http.Address
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A relay on loopback before scripted endpoints. */
+internal class RelayFixture : AutoCloseable {
+    private val callers = freeAddress()
+    val readiness: Address = freeAddress()
+    val stopped = CountDownLatch(1)
+    private val relay = Relay(settings()) { stopped.countDown() }
+
+    /** What the first engine of a path says about a request that makes no progress. */
+    @Volatile
+    var stallReport: StallReport = StallReport.Alive
+
+    init {
+        relay.start(Engines(), NoObjects)
+    }
+
+    fun configure(
+        vararg routes: Route,
+        version: Long = 1,
+        model: ModelLayout? = null,
+        keys: Map<String, String>? = mapOf("key" to "team"),
+    ) = onLoop {
+        val services = listOf(RelayService(ServiceId("s"), maxConnections = 100, model = model))
+        relay.configure(
+            RelayConfiguration(version, routes.toList(), services, teamsByKey = keys?.mapValues { TeamId(it.value) }),
+        )
+    }
+
+    fun register(vararg endpoints: RelayEndpoint) = onLoop { relay.replaceEndpoints(endpoints.toList()) }
+
+    fun shutDown() = onLoop { relay.shutDown() }
+
+    fun connect(): RawCaller = RawCaller(Socket(callers.host, callers.port))
+
+    /** Sends one request on a connection of its own and returns everything that comes back. */
+    fun call(
+        method: String = "POST",
+        path: String = "/r/x",
+        headers: Map<String, String> = emptyMap(),
+        body: String = "body",
+    ): RawAnswer =
+        connect().use { caller ->
+            caller.send(method, path, headers + ("Connection" to "close"), body)
+            caller.readAll()
+        }
+
+    fun isReady(): Boolean =
+        RawCaller(Socket(readiness.host, readiness.port)).use { caller ->
+            caller.send("GET", "/ready", mapOf("Connection" to "close"), "")
+            caller.readAll().status == 200
+        }
+
+    private fun onLoop(action: () -> Unit) {
+        val done = CountDownLatch(1)
+        relay.execute {
+            action()
+            done.countDown()
+        }
+        done.await()
+    }
+
+    private fun settings() =
+        RelaySettings(
+            instance = InstanceId("i"),
+            zone = ZoneId("z1"),
+            callers = callers,
+            readiness = readiness,
+            metrics = null,
+            headerNames = names,
+            budgets = ServiceBudgetSettings(ratio = 0.2, burst = 1_000),
+            maxConnections = 100,
+            shutdown = ShutdownSettings(100.milliseconds, 50.milliseconds, 200.milliseconds, 50.milliseconds),
+            times = RelayTimes(firstEvent = 300.milliseconds, eventGap = 300.milliseconds, patience = 300.milliseconds),
+        )
+
+    override fun close() = relay.close()
+
+    private inner class Engines : EngineCalls {
+        override fun place(
+            order: LayerOrder,
+            acceptedOrders: Long,
+            fence: Long,
+            result: (PlaceResult) -> Unit,
+        ) = result(PlaceResult.REJECTED)
+
+        override fun acceptedOrders(
+            endpoint: RelayEndpoint,
+            result: (Long?) -> Unit,
+        ) = result(null)
+
+        override fun stalledAt(
+            first: RelayEndpoint,
+            requestId: String,
+            result: (StallReport) -> Unit,
+        ) = result(stallReport)
+    }
+
+    private object NoObjects : SharedObjects {
+        override fun read(
+            key: ObjectKey,
+            result: (WriteEvent) -> Unit,
+        ) = result(WriteEvent.Unavailable)
+
+        override fun write(
+            action: WriteAction.Write,
+            result: (WriteEvent) -> Unit,
+        ) = result(WriteEvent.Unavailable)
+    }
+
+    companion object {
+        val names =
+            RelayHeaderNames(
+                requestId = "Request-Name",
+                deadline = "Time-Left",
+                team = "Team",
+                expectedEndpoint = "Expected",
+                signature = "Signed",
+                notExecuted = "Not-Run",
+                faultyEndpoint = "Faulty",
+                path = "Path",
+                tokens = "Tokens",
+                reserved = setOf("Reserved"),
+            )
+
+        fun route(
+            kind: RouteKind,
+            isResumable: Boolean = false,
+            maxAttempts: Int = 2,
+            isPublic: Boolean = false,
+        ) = Route(
+            name = "r",
+            host = "h.example",
+            pathPrefix = "/r/",
+            kind = kind,
+            targets = listOf(RouteTarget(ServiceId("s"))),
+            timeout = 3.seconds,
+            objective = 200.milliseconds,
+            maxAttempts = maxAttempts,
+            isPublic = isPublic,
+            isResumable = isResumable,
+        )
+
+        private fun freeAddress(): Address =
+            ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { Address("127.0.0.1", it.localPort) }
+    }
+}
+
+/** What a caller received until its connection ended. */
+internal class RawAnswer(
+    val text: String,
+) {
+    val status: Int = text.substringAfter(' ', "0").substringBefore(' ').toIntOrNull() ?: 0
+    private val head = text.substringBefore("\r\n\r\n").lines()
+
+    val rawBody: String = text.substringAfter("\r\n\r\n", "")
+
+    /** The body without the framing of chunks. */
+    val body: String =
+        if (header("Transfer-Encoding") == "chunked") {
+            rawBody.replace(Regex("""(?m)^[0-9a-f]+\r\n"""), "").replace("\r\n", "")
+        } else {
+            rawBody
+        }
+
+    /** Whether a chunked answer has its last chunk. */
+    val isWhole: Boolean get() = rawBody.endsWith("0\r\n\r\n")
+
+    fun header(name: String): String? =
+        head.firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
+}
+
+/** A caller that writes raw requests. */
+internal class RawCaller(
+    private val socket: Socket,
+) : AutoCloseable {
+    fun send(
+        method: String,
+        path: String,
+        headers: Map<String, String>,
+        body: String,
+    ) {
+        val all =
+            mapOf(
+                "Host" to "h.example",
+                "Request-Name" to "n1",
+                "Authorization" to "Bearer key",
+                "Time-Left" to "3000",
+            ) +
+                headers
+        val head = all.filterValues { it.isNotEmpty() }.entries.joinToString("") { "${it.key}: ${it.value}\r\n" }
+        val length = if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"
+        socket.getOutputStream().write("$method $path HTTP/1.1\r\n$head$length\r\n$body".toByteArray())
+    }
+
+    fun readAll(): RawAnswer {
+        socket.soTimeout = WAIT_MILLIS
+        return RawAnswer(
+            buildString {
+                try {
+                    while (true) {
+                        val next = socket.getInputStream().read()
+                        if (next < 0) break
+                        append(next.toChar())
+                    }
+                } catch (_: java.io.IOException) {
+                    // A reset ends the answer as well; what came before it counts.
+                }
+            },
+        )
+    }
+
+    override fun close() = socket.close()
+
+    private companion object {
+        const val WAIT_MILLIS = 8_000
+    }
+}
--- /dev/null
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
@@ -0,0 +1,173 @@
+package oriolespindle.router.relay
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.LayerRange
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.id.ZoneId
+import oriolespindle.core.relay.RelayEndpoint
+import java.io.BufferedInputStream
+import java.io.IOException
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+
+/** A request as it arrived at a [ScriptedEndpoint]. */
+internal class SeenRequest(
+    val requestLine: String,
+    val headers: Map<String, String>,
+    val body: String,
+) {
+    operator fun get(name: String): String? = headers[name.lowercase()]
+}
+
+/** The connection on which a request arrived; what is written to it is up to the script. */
+internal class ScriptedConnection(
+    val socket: Socket,
+) {
+    fun write(text: String) {
+        socket.getOutputStream().write(text.toByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    /** Closes the connection with a reset instead of an orderly end. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    fun close() = socket.close()
+
+    /** Returns whether the other side closes the connection within [millis]. */
+    fun closesWithin(millis: Int): Boolean {
+        socket.soTimeout = millis
+        return try {
+            socket.getInputStream().read() < 0
+        } catch (_: java.net.SocketTimeoutException) {
+            false
+        } catch (_: IOException) {
+            true
+        }
+    }
+}
+
+/** An endpoint that answers with raw bytes, so that a test can break any rule of HTTP. */
+internal class ScriptedEndpoint(
+    private val name: String,
+    private val script: ScriptedConnection.(SeenRequest, number: Int) -> Unit,
+) : AutoCloseable {
+    private val listener = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    private val arrivals = LinkedBlockingQueue<SeenRequest>()
+    val requests = CopyOnWriteArrayList<SeenRequest>()
+
+    val address: String get() = "127.0.0.1:${listener.localPort}"
+
+    init {
+        daemon { acceptAll() }
+    }
+
+    fun registration(
+        layers: LayerRange? = null,
+        zone: String = "z1",
+    ) = RelayEndpoint(
+        id = EndpointId(name),
+        service = ServiceId("s"),
+        address = address,
+        zone = ZoneId(zone),
+        startedAt = 1,
+        slots = 8,
+        accelerator = layers?.let { "card" },
+        layers = layers,
+    )
+
+    fun nextRequest(): SeenRequest =
+        checkNotNull(arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS)) { "no request arrived" }
+
+    override fun close() {
+        listener.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun acceptAll() {
+        while (!listener.isClosed) {
+            val socket =
+                try {
+                    listener.accept()
+                } catch (_: IOException) {
+                    return
+                }
+            sockets += socket
+            daemon { serve(socket) }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        try {
+            val input = BufferedInputStream(socket.getInputStream())
+            while (true) {
+                val request = read(input) ?: return
+                requests += request
+                arrivals += request
+                ScriptedConnection(socket).script(request, requests.size)
+            }
+        } catch (_: IOException) {
+            // The other side or the script has closed the connection.
+        }
+    }
+
+    private fun read(input: InputStream): SeenRequest? {
+        val requestLine = line(input) ?: return null
+        val headers =
+            generateSequence { line(input)?.takeIf { it.isNotEmpty() } }
+                .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        val body = input.readNBytes(headers["content-length"]?.toInt() ?: 0)
+        return SeenRequest(requestLine, headers, body.decodeToString())
+    }
+
+    private fun line(input: InputStream): String? {
+        val text = StringBuilder()
+        while (true) {
+            val next = input.read()
+            if (next < 0) return null
+            if (next == '\n'.code) return text.toString().removeSuffix("\r")
+            text.append(next.toChar())
+        }
+    }
+
+    private fun daemon(block: () -> Unit) {
+        Thread(block).apply { isDaemon = true }.start()
+    }
+
+    private companion object {
+        const val WAIT_SECONDS = 5L
+    }
+}
+
+/** Answers in the form that endpoints use. */
+internal object Scripts {
+    fun whole(
+        request: SeenRequest,
+        body: String,
+        status: String = "200 OK",
+        extra: String = "",
+    ): String =
+        "HTTP/1.1 $status\r\nRequest-Name: ${request["Request-Name"]}\r\nSigned: yes\r\n$extra" +
+            "Content-Length: ${body.length}\r\n\r\n$body"
+
+    fun refused(request: SeenRequest): String =
+        "HTTP/1.1 503 Service Unavailable\r\nRequest-Name: ${request["Request-Name"]}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+    fun streamHead(request: SeenRequest): String =
+        "HTTP/1.1 200 OK\r\nRequest-Name: ${request["Request-Name"]}\r\nSigned: ${request["Expected"]}\r\n" +
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    fun chunk(text: String): String = "${Integer.toHexString(text.length)}\r\n$text\r\n"
+
+    fun event(id: Int): String = "id: $id\ndata: event $id\n\n"
+
+    const val LAST_CHUNK: String = "0\r\n\r\n"
+}
