Bound the streams in progress at each path; repair with the smallest spare endpoint; fix the room for requests

Change: the smallest endpoint whose layers are held elsewhere moves; endpoints keep room for a fixed number of requests; a limit on streams in progress follows the time to the first event.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -14,16 +14,16 @@
 /** The targets of [LayerPlacer]. */
 public data class PlacementSettings(
     /**
-     * Copies of the model that a zone holds while memory for requests allows it.
+     * The usual requests for which each endpoint keeps memory beside its layers.
      *
-     * With two whole copies there is next to no memory for requests, and with one the first loss of an endpoint stops
-     * the zone; docs/platform.md has the figures.
+     * One path works on about as many at once before its pauses grow past the objective; docs/platform.md has the
+     * figures.
      */
-    public val copies: Double = 1.4,
-    /** Memory for requests that is kept before copies are added, in usual requests at once. */
+    public val requests: Int = 56,
+    /** The copies of the model below which memory for requests is given up: with one copy the first loss stops a zone. */
+    public val leastCopies: Double = 1.3,
+    /** Memory for requests that is kept in any case, in usual requests at once. */
     public val leastRequests: Int = 12,
-    /** The granularity of the search for the room that a zone can keep, in tokens. */
-    public val tokenStep: Int = 1_000,
 )
 
 /**
@@ -31,7 +31,8 @@
  *
  * Layers that are held stay where they are while all layers of the zone are covered. An empty endpoint takes the range
  * that adds most: first layers that nobody holds, then those whose only holder would take the most layers with it. If
- * a layer is not covered and no endpoint is empty, the endpoint whose own layers are all held elsewhere moves.
+ * a layer is not covered and no endpoint is empty, the smallest endpoint whose own layers are all held elsewhere moves:
+ * it loads fastest, and the zone keeps its large and fast ones in place for when the lost endpoint is back.
  */
 public class LayerPlacer(
     private val settings: PlacementSettings = PlacementSettings(),
@@ -89,7 +90,7 @@
             endpoints
                 .filter { !it.isLeaving }
                 .filter { endpoint -> endpoint.layers?.let(coverage::isCoveredWithout) ?: false }
-                .maxByOrNull { sizes.getValue(it.id) } ?: return null
+                .minWithOrNull(compareBy({ checkNotNull(it.layers).size }, { it.id })) ?: return null
         coverage.remove(checkNotNull(spare.layers))
         return LayerOrder(spare, coverage.bestRange(sizes.getValue(spare.id)))
     }
@@ -105,15 +106,12 @@
         endpoints: List<RelayEndpoint>,
     ): Map<EndpointId, Int> {
         val usual = model.usualPromptTokens + model.usualAnswerTokens
-        val least = settings.leastRequests * usual
-        var counts = counts(model, endpoints, least)
-        var tokens = least
-        while (true) {
-            tokens += settings.tokenStep
-            val next = counts(model, endpoints, tokens)
-            if (next.values.sum() < settings.copies * model.layers) return counts
-            counts = next
-        }
+        val staying = endpoints.filter { !it.isLeaving }
+        val requests =
+            (settings.requests downTo settings.leastRequests).firstOrNull { requests ->
+                counts(model, staying, requests * usual).values.sum() >= settings.leastCopies * model.layers
+            } ?: settings.leastRequests
+        return counts(model, endpoints, requests * usual)
     }
 
     private fun counts(
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
@@ -46,13 +46,15 @@
      * Returns the best path, or null when some layer has no endpoint.
      *
      * Paths inside one zone come first, the own zone's before the others'; one over several zones is only used when no
-     * zone has all layers. [load] gives the used part of an endpoint's memory for requests.
+     * zone has all layers. [load] gives the used part of an endpoint's memory for requests, and [mayBeFirst] tells which
+     * endpoints take another request.
      */
     public fun find(
         model: ModelLayout,
         endpoints: List<RelayEndpoint>,
         load: (EndpointId) -> Double,
         avoid: Set<EndpointId> = emptySet(),
+        mayBeFirst: (EndpointId) -> Boolean = { true },
     ): LayerPath? {
         val usable = endpoints.filter { it.layers != null && it.accelerator in model.accelerators && it.id !in avoid }
         val zonal =
@@ -60,9 +62,9 @@
                 .groupBy { it.zone }
                 .mapNotNull { (other, members) ->
                     val away = if (other == zone) 0.0 else settings.otherZoneMillis
-                    shortest(model, members, load)?.let { it to it.stepMillis + away }
+                    shortest(model, members, load, mayBeFirst)?.let { it to it.stepMillis + away }
                 }
-        return zonal.minByOrNull { it.second }?.first ?: shortest(model, usable, load)
+        return zonal.minByOrNull { it.second }?.first ?: shortest(model, usable, load, mayBeFirst)
     }
 
     private class Step(
@@ -84,6 +86,7 @@
         model: ModelLayout,
         endpoints: List<RelayEndpoint>,
         load: (EndpointId) -> Double,
+        mayBeFirst: (EndpointId) -> Boolean,
     ): LayerPath? {
         val boundaries = boundaries(model, endpoints)
         val best = HashMap<Int, Step>()
@@ -94,6 +97,7 @@
             for (endpoint in endpoints) {
                 val held = checkNotNull(endpoint.layers)
                 if (position < held.first || position >= held.end || step.uses(endpoint.id)) continue
+                if (position == 0 && !mayBeFirst(endpoint.id)) continue
                 extend(model, step, endpoint, boundaries, load(endpoint.id), best)
             }
         }
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
@@ -0,0 +1,93 @@
+package oriolespindle.core.relay
+
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The settings of [ConcurrencyLimits]. */
+public data class ConcurrencySettings(
+    /** The limit of an endpoint that has not answered yet; one path bears about 50 streams for all instances. */
+    public val first: Double = 24.0,
+    /** Keeps measuring an endpoint that is far behind. */
+    public val least: Double = 2.0,
+    public val most: Double = 400.0,
+    /** First events that take longer than this part of the objective lower the limit. */
+    public val lowerFrom: Double = 0.7,
+    /** First events that take less than this part of the objective raise the limit. */
+    public val raiseBelow: Double = 0.4,
+    /** What is left of the limit when it is lowered. */
+    public val factor: Double = 0.85,
+    /** The limit is lowered once for the requests that were in progress together. */
+    public val lowerEvery: Duration = 300.milliseconds,
+)
+
+/**
+ * Bounds the streams that this instance has in progress at each first endpoint.
+ *
+ * A path that has more work than it can do serves all of it late. The limit follows the time to the first event: it
+ * grows by one for each full round of streams that begin in time and shrinks by a factor when they begin late. Each
+ * instance finds its own share in this way without knowing the others.
+ */
+public class ConcurrencyLimits(
+    private val settings: ConcurrencySettings = ConcurrencySettings(),
+) {
+    private class Limit(
+        var value: Double,
+    ) {
+        var inFlight = 0
+        var loweredAt: Timestamp? = null
+    }
+
+    private val limits = HashMap<EndpointId, Limit>()
+
+    /** Returns whether another stream may start at [endpoint]. */
+    public fun isOpen(endpoint: EndpointId): Boolean = limits[endpoint]?.let { it.inFlight < it.value } ?: true
+
+    /** A stream was sent to [endpoint]. */
+    public fun started(endpoint: EndpointId) {
+        limit(endpoint).inFlight++
+    }
+
+    /** The stream has ended. */
+    public fun finished(endpoint: EndpointId) {
+        val limit = limits[endpoint] ?: return
+        limit.inFlight = maxOf(0, limit.inFlight - 1)
+    }
+
+    /** The first event of a stream took [latency], or has not come after it, where [objective] was aimed at. */
+    public fun firstEvent(
+        now: Timestamp,
+        endpoint: EndpointId,
+        latency: Duration,
+        objective: Duration,
+    ) {
+        val limit = limit(endpoint)
+        val part = latency / objective
+        if (part < settings.raiseBelow) {
+            // A limit that is not used up says nothing about a higher one.
+            if (limit.inFlight * 2 >= limit.value) limit.value = minOf(settings.most, limit.value + 1 / limit.value)
+        } else if (part > settings.lowerFrom) {
+            lower(now, limit)
+        }
+    }
+
+    /** Forgets endpoints that are not in [registered]. */
+    public fun retain(registered: Set<EndpointId>) {
+        limits.entries.removeIf { (id, limit) -> id !in registered && limit.inFlight == 0 }
+    }
+
+    private fun lower(
+        now: Timestamp,
+        limit: Limit,
+    ) {
+        val last = limit.loweredAt
+        if (last != null && now - last < settings.lowerEvery) return
+        limit.loweredAt = now
+        // What is in flight beyond the limit came before it was lowered; the limit starts from what was in use.
+        val used = minOf(limit.value, limit.inFlight.toDouble())
+        limit.value = maxOf(settings.least, used * settings.factor)
+    }
+
+    private fun limit(endpoint: EndpointId): Limit = limits.getOrPut(endpoint) { Limit(settings.first) }
+}
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
@@ -77,6 +77,15 @@
         }
     }
 
+    @Test
+    fun `guards against a large endpoint moving to fill the place of a small one`() {
+        val placed = ModelFleet.placed()
+        for (lost in placed.filter { it.accelerator == "small" }) {
+            val moved = orders(placed.filter { it.id != lost.id })
+            expectThat(moved.none { it.endpoint.accelerator == "large" }).isTrue()
+        }
+    }
+
     @Test
     fun `guards against layers being lost when endpoints come and go`() {
         val random = SplittableRandom(11)
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/ConcurrencyLimitsTest.kt
@@ -0,0 +1,95 @@
+package oriolespindle.core.relay
+
+import org.junit.jupiter.api.Test
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ConcurrencyLimitsTest {
+    private val path = EndpointId("e")
+    private val objective = 500.milliseconds
+
+    /**
+     * One path that works on its streams one prompt at a time, with instances that see only their own streams.
+     *
+     * A stream begins when its prompt has been read; reading takes [readTime] after those before it.
+     */
+    private class LoadedPath(
+        private val readTime: Duration,
+    ) {
+        var now = Timestamp.ZERO
+        private var freeAt = Timestamp.ZERO
+
+        fun begin(): Duration {
+            freeAt = maxOf(freeAt, now) + readTime
+            return freeAt - now
+        }
+    }
+
+    /** Returns the shares of streams that began in time and of those that were refused. */
+    private fun replay(
+        perSecond: Int,
+        limited: Boolean,
+    ): Pair<Double, Double> {
+        val instances = List(3) { ConcurrencyLimits() }
+        val load = LoadedPath(readTime = 40.milliseconds)
+        val ends = ArrayList<Triple<Timestamp, ConcurrencyLimits, Duration>>()
+        var inTime = 0
+        var refused = 0
+        val total = perSecond * 30
+        repeat(total) { number ->
+            load.now = Timestamp.ZERO + 1.seconds * number / perSecond
+            ends.filter { it.first <= load.now }.forEach { (at, limits, latency) ->
+                limits.firstEvent(at, path, latency, objective)
+                limits.finished(path)
+            }
+            ends.removeIf { it.first <= load.now }
+            val limits = instances[number % instances.size]
+            if (limited && !limits.isOpen(path)) {
+                refused++
+                return@repeat
+            }
+            val latency = load.begin()
+            limits.started(path)
+            ends += Triple(load.now + latency, limits, latency)
+            if (latency <= objective) inTime++
+        }
+        return inTime.toDouble() / total to refused.toDouble() / total
+    }
+
+    @Test
+    fun `guards against serving all streams late when there are more than a path can do`() {
+        val capacity = 25.0 / 40
+        val (inTime, _) = replay(perSecond = 40, limited = true)
+        val (unlimited, _) = replay(perSecond = 40, limited = false)
+
+        expectThat(inTime).isGreaterThanOrEqualTo(0.8 * capacity)
+        expectThat(inTime).isGreaterThan(2 * unlimited)
+    }
+
+    @Test
+    fun `guards against refusing streams that a path can do in time`() {
+        val (inTime, refused) = replay(perSecond = 20, limited = true)
+
+        expectThat(refused == 0.0).isTrue()
+        expectThat(inTime == 1.0).isTrue()
+    }
+
+    @Test
+    fun `guards against an endpoint that stays closed after its load has gone`() {
+        val limits = ConcurrencyLimits()
+        repeat(40) { limits.started(path) }
+        repeat(40) { limits.firstEvent(Timestamp.ZERO + 1.seconds * it, path, 2.seconds, objective) }
+        expectThat(limits.isOpen(path)).isFalse()
+        repeat(40) { limits.finished(path) }
+
+        expectThat(limits.isOpen(path)).isTrue()
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -84,7 +84,11 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         // The codec for clients would pair responses with requests and fail on one that is too many.
-                        channel.pipeline().addLast(HttpRequestEncoder(), ResponseDecoder(), ClientCallHandler(address, pool))
+                        channel.pipeline().addLast(
+                            HttpRequestEncoder(),
+                            ResponseDecoder(),
+                            ClientCallHandler(address, pool),
+                        )
                     }
                 },
             ).connect(address.toSocketAddress())
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -88,7 +88,9 @@
     /** Takes the whole list of registered endpoints. */
     public fun replaceEndpoints(endpoints: List<RelayEndpoint>) {
         context.directory.replaceAll(monotonicNow(), endpoints)
-        context.selector.retain(endpoints.mapTo(HashSet()) { it.id })
+        val registered = endpoints.mapTo(HashSet()) { it.id }
+        context.selector.retain(registered)
+        context.concurrency.retain(registered)
     }
 
     /** Takes one endpoint that is new or has changed. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -4,6 +4,7 @@
 import oriolespindle.core.placement.PathFinder
 import oriolespindle.core.placement.PathLoad
 import oriolespindle.core.relay.AttemptPolicy
+import oriolespindle.core.relay.ConcurrencyLimits
 import oriolespindle.core.relay.ConfigurationHolder
 import oriolespindle.core.relay.EndpointDirectory
 import oriolespindle.core.relay.EndpointSelector
@@ -29,5 +30,6 @@
     val selector = EndpointSelector(zone)
     val paths = PathFinder(zone)
     val load = PathLoad()
+    val concurrency = ConcurrencyLimits()
     lateinit var engines: EngineCalls
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -42,6 +42,8 @@
     public val diagnosis: Duration = 150.milliseconds,
     /** How much longer a stream may pause whose first engine is alive; its connection may be silent all the same. */
     public val patience: Duration = 600.milliseconds,
+    /** Told to callers while all paths have as much work as they can do in time; a stream ends every few dozen ms. */
+    public val retryAfterOverload: Duration = 250.milliseconds,
     /** Told to callers while this instance has no configuration. */
     public val retryAfterStart: Duration = 1.seconds,
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -9,6 +9,7 @@
 import oriolespindle.core.relay.EventVerdict
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.core.relay.StreamPosition
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
@@ -34,15 +35,23 @@
     private var head: ClientEvent.Head? = null
     private var forwarded = 0
 
+    /** Whether all layers have endpoints, though those may have as much work as they can do. */
+    private var hasPath = false
+    private var startedAt = Timestamp.ZERO
+    private var awaitsFirstEvent = false
+
     override val answerBegun: Boolean get() = forwarded > 0
 
     override fun attempt() {
         val target = chooseTarget()
         if (target == null) {
-            attemptFailed(AttemptEnd.NotSent, "no_path", endpoint = null)
+            noTarget()
             return
         }
         first = target
+        startedAt = monotonicNow()
+        awaitsFirstEvent = true
+        context.concurrency.started(target.id)
         head = null
         framer.reset()
         failureBody.reset()
@@ -58,13 +67,26 @@
         val now = monotonicNow()
         val endpoints = context.directory.usable(now, request.service.id)
         if (model == null) return context.selector.choose(now, endpoints, avoid)
-        path = context.paths.find(model, endpoints, ::load, avoid) ?: context.paths.find(model, endpoints, ::load)
+        val isOpen = { endpoint: EndpointId -> answerBegun || context.concurrency.isOpen(endpoint) }
+        path =
+            context.paths.find(model, endpoints, ::load, avoid, isOpen)
+                ?: context.paths.find(model, endpoints, ::load, emptySet(), isOpen)
+        hasPath = path != null || context.paths.find(model, endpoints, ::load) != null
         return path?.first
     }
 
+    private fun noTarget() {
+        if (hasPath && !history.mayHaveRun) {
+            refuse("overloaded", context.times.retryAfterOverload)
+        } else {
+            attemptFailed(AttemptEnd.NotSent, "no_path", endpoint = null)
+        }
+    }
+
     override fun attemptEnded() {
         path?.let { context.load.finished(it, tokens) }
         path = null
+        first?.let { context.concurrency.finished(it.id) }
         first = null
     }
 
@@ -117,12 +139,20 @@
             exchange.beginRelay(first.status, context.headers.forCaller(first.headers))
         }
         forwarded++
+        measureFirstEvent()
         path?.parts?.forEach { context.directory.succeeded(it.endpoint.id) }
             ?: first?.let { context.directory.succeeded(it.id) }
         exchange.writeChunk(event)
         watchAttempt(context.times.eventGap, ::stalled)
     }
 
+    private fun measureFirstEvent() {
+        if (!awaitsFirstEvent) return
+        awaitsFirstEvent = false
+        val target = first ?: return
+        context.concurrency.firstEvent(monotonicNow(), target.id, elapsed(startedAt), request.route.objective)
+    }
+
     private fun completed(head: ClientEvent.Head) {
         val first = first ?: return
         val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
@@ -175,6 +205,7 @@
     /** No event arrived in time; the first endpoint knows whether it waits for another one. */
     private fun stalled() {
         val target = first ?: return
+        measureFirstEvent()
         if (call?.sent != true || model == null) {
             giveUp(target.id)
             return
