Count runs and receivers instead of sends; ask for the cause of a pause sooner and tell other streams

Change: a refusal no longer uses up an attempt; a request still reaches no more endpoints than its route has attempts and runs no more often. The first engine is asked after 350 to 400 ms, and all streams that wait for a lost endpoint go on elsewhere at once.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.relay
 
+import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
@@ -39,29 +40,53 @@
 
 /** What earlier attempts of one request have come to. */
 public class AttemptHistory {
+    private val receivers = HashSet<EndpointId>()
+
     /** Attempts of which at least one byte was sent. */
     public var sends: Int = 0
         private set
 
+    /** Attempts that may have run. */
+    public var runs: Int = 0
+        private set
+
     /** Attempts that failed before a byte was sent. */
     public var unsent: Int = 0
         private set
 
     /** Whether the request may have run at some endpoint. */
-    public var mayHaveRun: Boolean = false
-        private set
+    public val mayHaveRun: Boolean get() = runs > 0
 
-    /** Counts an attempt that ended as [end]. */
-    public fun ended(end: AttemptEnd) {
-        if (end == AttemptEnd.NotSent) unsent++ else sends++
-        if (end == AttemptEnd.Failed || end == AttemptEnd.Unknown) mayHaveRun = true
+    /** Counts an attempt that was made at [receiver], if there was one, and ended as [end]. */
+    public fun ended(
+        end: AttemptEnd,
+        receiver: EndpointId? = null,
+    ) {
+        if (end == AttemptEnd.NotSent) {
+            unsent++
+            return
+        }
+        sends++
+        receiver?.let(receivers::add)
+        if (end == AttemptEnd.Failed || end == AttemptEnd.Unknown) runs++
     }
+
+    /** Returns whether the request may be sent to [endpoint] when at most [most] endpoints may receive it. */
+    public fun mayReceive(
+        endpoint: EndpointId,
+        most: Int,
+    ): Boolean = endpoint in receivers || receivers.size < most
+
+    /** Returns whether an endpoint that has not received the request yet may receive it. */
+    public fun mayAddReceiver(most: Int): Boolean = receivers.size < most
 }
 
 /** The settings of [AttemptPolicy]. */
 public data class AttemptSettings(
     /** Bounds the connections that one request tries to open; each costs a connect timeout at worst. */
     public val maxUnsent: Int = 3,
+    /** Bounds the paths that are tried through the endpoints that may receive a request. */
+    public val maxSends: Int = 4,
     /** What must be left of the caller's time for another attempt to be of use. */
     public val leastTime: Duration = 20.milliseconds,
     /** After a refusal of a full endpoint; its queue is short. */
@@ -73,14 +98,16 @@
 /**
  * Decides what follows an attempt that brought no answer.
  *
- * A request is sent again only if its route allows it or if it certainly did not run, within the route's attempts, the
- * retry budget of the service and the caller's time. A refusal as not run is given only if no attempt may have run.
+ * A request is sent again only if its route allows it or if it certainly did not run, within the retry budget of the
+ * service and the caller's time. It runs at most as often as the route has attempts, and no more endpoints than that
+ * receive it; the caller of [decide] keeps to the latter with [AttemptHistory.mayReceive]. A refusal as not run is given
+ * only if no attempt may have run.
  */
 public class AttemptPolicy(
     private val budget: ServiceBudgets,
     private val settings: AttemptSettings = AttemptSettings(),
 ) {
-    /** Returns what follows [end]; [history] has to include it. */
+    /** Returns what follows [end]; [history] has to include it, and [canResend] tells whether an endpoint is left. */
     public fun decide(
         now: Timestamp,
         route: Route,
@@ -88,6 +115,7 @@
         history: AttemptHistory,
         end: AttemptEnd,
         expiry: Timestamp,
+        canResend: Boolean = history.mayAddReceiver(route.maxAttempts),
     ): AttemptDecision {
         val timeLeft = expiry - now > settings.leastTime
         val again =
@@ -97,11 +125,12 @@
                 }
 
                 AttemptEnd.NotRun -> {
-                    history.sends < route.maxAttempts && mayRepeat(route, history)
+                    canResend && history.sends < settings.maxSends && mayRepeat(route, history)
                 }
 
                 AttemptEnd.Failed, AttemptEnd.Unknown -> {
-                    history.sends < route.maxAttempts && route.mayRepeat
+                    canResend && history.runs < route.maxAttempts && history.sends < settings.maxSends &&
+                        route.mayRepeat
                 }
             }
         val free = end == AttemptEnd.NotSent && history.sends == 0
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -97,16 +97,17 @@
         entries.values.forEach { if (it.lapsedUntil != null) it.lapsedUntil = until }
     }
 
-    /** A contact with [endpoint] failed in a way that concerns the whole endpoint. */
+    /** A contact with [endpoint] failed in a way that concerns the whole endpoint; it pauses for [atLeast]. */
     public fun failed(
         now: Timestamp,
         endpoint: EndpointId,
+        atLeast: Duration = settings.firstPause,
     ) {
         val entry = entries[endpoint] ?: return
         val paused = entry.pausedUntil
         if (paused != null && now < paused) return
         val factor = 1 shl minOf(entry.failures, MAX_DOUBLINGS)
-        entry.pausedUntil = now + minOf(settings.firstPause * factor, settings.longestPause)
+        entry.pausedUntil = now + minOf(maxOf(atLeast, settings.firstPause * factor), settings.longestPause)
         entry.failures++
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.relay
 
 import io.netty.handler.codec.http.HttpHeaderNames
+import oriolespindle.core.id.EndpointId
 import oriolespindle.core.relay.AttemptEnd
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.core.relay.RouteKind
@@ -21,9 +22,12 @@
 
     override val answerBegun: Boolean = false
 
+    override val receiver: EndpointId? get() = endpoint?.id
+
     override fun attempt() {
         val now = monotonicNow()
-        val chosen = context.selector.choose(now, context.directory.usable(now, request.service.id), avoid)
+        val candidates = context.directory.usable(now, request.service.id).filter { mayReceive(it.id) }
+        val chosen = context.selector.choose(now, candidates, avoid)
         if (chosen == null) {
             attemptFailed(AttemptEnd.NotSent, "no_endpoint", endpoint = null)
             return
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -31,5 +31,8 @@
     val paths = PathFinder(zone)
     val load = PathLoad()
     val concurrency = ConcurrencyLimits()
+
+    /** The streams in progress. */
+    val streams = LinkedHashSet<StreamSession>()
     lateinit var engines: EngineCalls
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -54,6 +54,14 @@
 
     protected abstract fun attemptEnded()
 
+    /** The endpoint that received the attempt in progress. */
+    protected abstract val receiver: EndpointId?
+
+    /** Whether an endpoint is left that may receive the request. */
+    protected open fun canResend(): Boolean = history.mayAddReceiver(request.route.maxAttempts)
+
+    protected fun mayReceive(endpoint: EndpointId): Boolean = history.mayReceive(endpoint, request.route.maxAttempts)
+
     protected fun isAnswer(answerId: String?): Boolean = answerId == null || answerId == request.id.value
 
     protected fun send(
@@ -120,11 +128,19 @@
     ) {
         stopWatching()
         call = null
+        history.ended(end, receiver)
         attemptEnded()
-        history.ended(end)
         endpoint?.let(avoid::add)
         val decision =
-            context.policy.decide(monotonicNow(), request.route, request.service.id, history, end, request.expiry)
+            context.policy.decide(
+                now = monotonicNow(),
+                route = request.route,
+                service = request.service.id,
+                history = history,
+                end = end,
+                expiry = request.expiry,
+                canResend = canResend(),
+            )
         EventLog.info(
             "attempt failed",
             "request" to request.id,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -34,14 +34,22 @@
     public val maxIdleNonIdempotent: Duration = 3.seconds,
     /** An idempotent call without an answer is repeated after this many objectives of its route. */
     public val silentAfterObjectives: Double = 2.0,
-    /** Callers give a stream up after two seconds without an event; a second run needs about half of that. */
-    public val firstEvent: Duration = 1_000.milliseconds,
-    /** The longest pause inside a stream before it is resumed elsewhere. */
-    public val eventGap: Duration = 700.milliseconds,
-    /** The wait for an engine's word on which endpoint of a path holds a stream up. */
-    public val diagnosis: Duration = 150.milliseconds,
-    /** How much longer a stream may pause whose first engine is alive; its connection may be silent all the same. */
-    public val patience: Duration = 600.milliseconds,
+    /** The wait for the first event before the first engine is asked; several times that of an engine with room. */
+    public val firstEvent: Duration = 400.milliseconds,
+    /** The pause inside a stream before the first engine is asked; callers count a pause from 250 ms on as late. */
+    public val eventGap: Duration = 350.milliseconds,
+    /** How long an engine's report may take, and the time between two reports. */
+    public val askAgain: Duration = 300.milliseconds,
+    /**
+     * The pause after which a stream is given up although its first engine is alive.
+     *
+     * Its connection may be silent. Callers give up after two seconds, and a second run needs about half of that.
+     */
+    public val patience: Duration = 1_200.milliseconds,
+    /** A stream that has had an event more recently than this does not wait for an endpoint that was lost. */
+    public val quiet: Duration = 150.milliseconds,
+    /** The pause of an endpoint that another one reports as lost; a restart takes several seconds. */
+    public val lostPause: Duration = 1_000.milliseconds,
     /** Told to callers while all paths have as much work as they can do in time; a stream ends every few dozen ms. */
     public val retryAfterOverload: Duration = 250.milliseconds,
     /** Told to callers while this instance has no configuration. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -38,10 +38,16 @@
     /** Whether all layers have endpoints, though those may have as much work as they can do. */
     private var hasPath = false
     private var startedAt = Timestamp.ZERO
+    private var lastEventAt = Timestamp.ZERO
     private var awaitsFirstEvent = false
 
     override val answerBegun: Boolean get() = forwarded > 0
 
+    override val receiver: EndpointId? get() = first?.id
+
+    /** Another path may begin at an endpoint that has received the request before. */
+    override fun canResend(): Boolean = model != null || super.canResend()
+
     override fun attempt() {
         val target = chooseTarget()
         if (target == null) {
@@ -59,15 +65,25 @@
         path?.let { context.load.started(it, tokens) }
         exchange.onWritable = { writable -> if (writable) call?.resumeReading() else call?.pauseReading() }
         send(target, pathHeaders(), maxIdle = null, ::handle)
+        lastEventAt = startedAt
+        context.streams += this
         watchAttempt(context.times.firstEvent, ::stalled)
     }
 
+    /** [culprit] does not answer, as another stream has found; a stream that waits for it need not find out by itself. */
+    fun endpointLost(culprit: EndpointId) {
+        val waits = elapsed(lastEventAt) >= context.times.quiet
+        if (!ended && waits && path?.parts?.any { it.endpoint.id == culprit } == true) giveUp(culprit)
+    }
+
     /** Returns the endpoint to send to; for a model it is the first of a path, which is kept in [path]. */
     private fun chooseTarget(): RelayEndpoint? {
         val now = monotonicNow()
         val endpoints = context.directory.usable(now, request.service.id)
-        if (model == null) return context.selector.choose(now, endpoints, avoid)
-        val isOpen = { endpoint: EndpointId -> answerBegun || context.concurrency.isOpen(endpoint) }
+        if (model == null) return context.selector.choose(now, endpoints.filter { mayReceive(it.id) }, avoid)
+        val isOpen = { endpoint: EndpointId ->
+            mayReceive(endpoint) && (answerBegun || context.concurrency.isOpen(endpoint))
+        }
         path =
             context.paths.find(model, endpoints, ::load, avoid, isOpen)
                 ?: context.paths.find(model, endpoints, ::load, emptySet(), isOpen)
@@ -87,6 +103,7 @@
         path?.let { context.load.finished(it, tokens) }
         path = null
         first?.let { context.concurrency.finished(it.id) }
+        context.streams -= this
         first = null
     }
 
@@ -139,6 +156,7 @@
             exchange.beginRelay(first.status, context.headers.forCaller(first.headers))
         }
         forwarded++
+        lastEventAt = monotonicNow()
         measureFirstEvent()
         path?.parts?.forEach { context.directory.succeeded(it.endpoint.id) }
             ?: first?.let { context.directory.succeeded(it.id) }
@@ -213,7 +231,15 @@
         val asked = call
         val eventsBefore = forwarded
         val isCurrent = { !ended && call === asked && forwarded == eventsBefore }
-        watchAttempt(context.times.diagnosis + context.times.patience) { giveUp(target.id) }
+        watchAttempt(context.times.askAgain) {
+            if (elapsed(lastEventAt) >=
+                context.times.patience
+            ) {
+                giveUp(target.id)
+            } else {
+                stalled()
+            }
+        }
         context.engines.stalledAt(target, request.id.value) { report ->
             if (isCurrent()) {
                 EventLog.info(
@@ -223,14 +249,20 @@
                     "report" to report,
                 )
                 when (report) {
-                    is StallReport.WaitsFor -> giveUp(context.directory.at(report.address)?.id ?: target.id)
+                    is StallReport.WaitsFor -> lost(context.directory.at(report.address)?.id ?: target.id)
                     StallReport.Alive -> Unit
-                    StallReport.NoAnswer -> giveUp(target.id)
+                    StallReport.NoAnswer -> lost(target.id)
                 }
             }
         }
     }
 
+    private fun lost(culprit: EndpointId) {
+        context.directory.failed(monotonicNow(), culprit, context.times.lostPause)
+        giveUp(culprit)
+        context.streams.toList().forEach { it.endpointLost(culprit) }
+    }
+
     private fun giveUp(culprit: EndpointId) {
         val sent = call?.sent == true
         context.directory.failed(monotonicNow(), culprit)
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
@@ -133,6 +133,31 @@
         expectThat(answer.isWhole).isTrue()
     }
 
+    @Test
+    fun `guards against each stream finding out by itself that an engine is lost`() {
+        val started = java.util.concurrent.CountDownLatch(2)
+        val first =
+            endpoint("e1") { request, _ ->
+                write(Scripts.streamHead(request))
+                events(1..2)
+                started.countDown()
+                Thread.sleep(10_000)
+            }
+        val second = endpoint("e2") { request, _ -> wholeStream(request, 3..4) }
+        serve(first, second)
+        val answers =
+            List(2) {
+                java.util.concurrent.CompletableFuture
+                    .supplyAsync { relay.call() }
+            }
+        started.await()
+        relay.stallReport = StallReport.WaitsFor(first.address)
+
+        answers.forEach { expectThat(it.get().isWhole).isTrue() }
+        expectThat(relay.call().isWhole).isTrue()
+        expectThat(first.requests).hasSize(2)
+    }
+
     @Test
     fun `guards against cutting a stream that goes on while it is looked into`() {
         val engine =
