--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lease/LeaseHolder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lease/LeaseHolder.kt
@@ -44,6 +44,9 @@
     private var held: Held? = null
     private var trusted = false
     private var pending: Pending? = null
+
+    /** The lease was given up while a write was in progress, whose result is to be replaced by a release. */
+    private var releaseDue = false
     private var seen: StoredObject? = null
     private var seenAt: Timestamp? = null
     private var nextRead: Timestamp? = null
@@ -219,7 +222,11 @@
         val version = held?.version
         rank = null
         lose(now, LeaseLoss.RELEASED, actions)
-        if (version != null && pending == null) startWrite(now, version, renews = null, releases = true, actions)
+        if (pending != null) {
+            releaseDue = true
+        } else if (version != null) {
+            startWrite(now, version, renews = null, releases = true, actions)
+        }
     }
 
     private fun startWrite(
@@ -263,6 +270,8 @@
         when {
             write.releases -> Unit
 
+            releaseDue -> releaseAfter(now, result, actions)
+
             result is WriteResult.Accepted -> accepted(now, write, checkNotNull(result.version), actions)
 
             result is WriteResult.Conflict -> conflict(now, result.current, actions)
@@ -272,6 +281,18 @@
         }
     }
 
+    /** Without a landed write another instance has the lease, or it runs out by itself. */
+    private fun releaseAfter(
+        now: Timestamp,
+        result: WriteResult,
+        actions: MutableList<LeaseAction>,
+    ) {
+        releaseDue = false
+        if (result is WriteResult.Accepted) {
+            startWrite(now, checkNotNull(result.version), renews = null, releases = true, actions)
+        }
+    }
+
     private fun conflict(
         now: Timestamp,
         current: StoredObject?,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
@@ -16,6 +16,8 @@
     public val lowerFrom: Double = 0.7,
     /** First events that take less than this part of the objective raise the limit. */
     public val raiseBelow: Double = 0.4,
+    /** What each stream that begins in time adds; a limit of 8 doubles within 40 streams after a disturbance. */
+    public val growth: Double = 0.2,
     /** What is left of the limit when it is lowered. */
     public val factor: Double = 0.85,
     /** The limit is lowered once for the requests that were in progress together. */
@@ -26,7 +28,7 @@
  * Bounds the streams that this instance has in progress at each first endpoint.
  *
  * A path that has more work than it can do serves all of it late. The limit follows the time to the first event: it
- * grows by one for each full round of streams that begin in time and shrinks by a factor when they begin late. Each
+ * grows with each stream that begins in time and shrinks by a factor when they begin late. Each
  * instance finds its own share in this way without knowing the others.
  */
 public class ConcurrencyLimits(
@@ -66,7 +68,7 @@
         val part = latency / objective
         if (part < settings.raiseBelow) {
             // A limit that is not used up says nothing about a higher one.
-            if (limit.inFlight * 2 >= limit.value) limit.value = minOf(settings.most, limit.value + 1 / limit.value)
+            if (limit.inFlight * 2 >= limit.value) limit.value = minOf(settings.most, limit.value + settings.growth)
         } else if (part > settings.lowerFrom) {
             lower(now, limit)
         }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -11,9 +11,11 @@
     /** Registrations that lapsed with the store are renewed within two seconds of its return; see docs/platform.md. */
     public val renewalAfterOutage: Duration = 2_200.milliseconds,
     /** The first pause after a failed contact, doubled with each further one up to [longestPause]. */
-    public val firstPause: Duration = 250.milliseconds,
+    public val firstPause: Duration = 100.milliseconds,
     /** Short enough to find a restarted endpoint soon after it listens again. */
     public val longestPause: Duration = 2_000.milliseconds,
+    /** The pause of an endpoint that another one reports as lost; it is gone for good or restarts as a new process. */
+    public val lostPause: Duration = 3_000.milliseconds,
 )
 
 /**
@@ -97,17 +99,24 @@
         entries.values.forEach { if (it.lapsedUntil != null) it.lapsedUntil = until }
     }
 
-    /** A contact with [endpoint] failed in a way that concerns the whole endpoint; it pauses for [atLeast]. */
+    /** Another endpoint reports that [endpoint] does not answer. */
+    public fun lost(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ) {
+        entries[endpoint]?.pausedUntil = now + settings.lostPause
+    }
+
+    /** A contact with [endpoint] failed in a way that concerns the whole endpoint. */
     public fun failed(
         now: Timestamp,
         endpoint: EndpointId,
-        atLeast: Duration = settings.firstPause,
     ) {
         val entry = entries[endpoint] ?: return
         val paused = entry.pausedUntil
         if (paused != null && now < paused) return
         val factor = 1 shl minOf(entry.failures, MAX_DOUBLINGS)
-        entry.pausedUntil = now + minOf(maxOf(atLeast, settings.firstPause * factor), settings.longestPause)
+        entry.pausedUntil = now + minOf(settings.firstPause * factor, settings.longestPause)
         entry.failures++
     }
 
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -66,12 +66,22 @@
         directory.put(endpoint("a"))
         directory.failed(start, EndpointId("a"))
 
-        expectThat(usable(start + 200.milliseconds)).isEmpty()
-        expectThat(usable(start + 250.milliseconds)).containsExactly("a")
-        directory.failed(start + 250.milliseconds, EndpointId("a"))
-        expectThat(usable(start + 700.milliseconds)).isEmpty()
+        expectThat(usable(start + 90.milliseconds)).isEmpty()
+        expectThat(usable(start + 100.milliseconds)).containsExactly("a")
+        directory.failed(start + 100.milliseconds, EndpointId("a"))
+        expectThat(usable(start + 250.milliseconds)).isEmpty()
         directory.succeeded(EndpointId("a"))
-        expectThat(usable(start + 700.milliseconds)).containsExactly("a")
+        expectThat(usable(start + 250.milliseconds)).containsExactly("a")
+    }
+
+    @Test
+    fun `guards against streams going to an endpoint that others report as lost, until it has restarted`() {
+        directory.put(endpoint("a"))
+        directory.lost(start, EndpointId("a"))
+
+        expectThat(usable(start + 2_900.milliseconds)).isEmpty()
+        directory.put(endpoint("a", startedAt = 2))
+        expectThat(usable(start + 2_900.milliseconds)).containsExactly("a")
     }
 
     @Test
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EngineCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EngineCalls.kt
@@ -58,9 +58,14 @@
 
 /** Objects that instances share through the platform's store; results arrive on the event loop. */
 public interface SharedObjects {
-    /** Reads one object; the result is [WriteEvent.ReadBack] or [WriteEvent.Unavailable]. */
+    /**
+     * Reads one object; the result is [WriteEvent.ReadBack] or [WriteEvent.Unavailable].
+     *
+     * With [mayBeStale] it may be seconds old, which costs less.
+     */
     public fun read(
         key: ObjectKey,
+        mayBeStale: Boolean,
         result: (WriteEvent) -> Unit,
     )
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
@@ -67,7 +67,7 @@
     private fun handle(event: LeaseEvent) {
         for (action in lease.handle(monotonicNow(), event)) {
             when (action) {
-                LeaseAction.Read -> objects.read(KEY, ::observed)
+                LeaseAction.Read -> objects.read(KEY, mayBeStale = true, ::observed)
                 is LeaseAction.Perform -> perform(action.action)
                 is LeaseAction.Held -> held(action.fence)
                 is LeaseAction.Lost -> lost(action)
@@ -83,7 +83,7 @@
         val deliver = { event: WriteEvent -> handle(LeaseEvent.Write(event)) }
         when (action) {
             is WriteAction.Write -> objects.write(action, deliver)
-            is WriteAction.Read -> objects.read(action.key, deliver)
+            is WriteAction.Read -> objects.read(action.key, mayBeStale = false, deliver)
             is WriteAction.Wait, is WriteAction.Finish -> error("a lease holder times its own writes")
         }
     }
@@ -219,15 +219,15 @@
         /** A refused order is weighed again after the endpoint's next registration. */
         val REJECTED_PAUSE = 1_500.milliseconds
 
-        /** A successor takes over within about five seconds of the holder's last renewal. */
+        /** A successor takes over within about four seconds of the holder's last renewal. */
         fun leaseSettings(self: InstanceId) =
             LeaseSettings(
                 self = self,
                 key = KEY,
-                duration = 4.seconds,
-                renewEvery = 1.seconds,
-                margin = 300.milliseconds,
-                pollEvery = 1.seconds,
+                duration = 3.seconds,
+                renewEvery = 800.milliseconds,
+                margin = 250.milliseconds,
+                pollEvery = 500.milliseconds,
                 longestOrder = ORDER_TIME,
                 rankDelay = 100.milliseconds,
                 pauseLimit = 1.seconds,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -48,8 +48,6 @@
     public val patience: Duration = 1_200.milliseconds,
     /** A stream that has had an event more recently than this does not wait for an endpoint that was lost. */
     public val quiet: Duration = 150.milliseconds,
-    /** The pause of an endpoint that another one reports as lost; a restart takes several seconds. */
-    public val lostPause: Duration = 1_000.milliseconds,
     /** Told to callers while all paths have as much work as they can do in time; a stream ends every few dozen ms. */
     public val retryAfterOverload: Duration = 250.milliseconds,
     /** Told to callers while this instance has no configuration. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -84,9 +84,10 @@
         val isOpen = { endpoint: EndpointId ->
             mayReceive(endpoint) && (answerBegun || context.concurrency.isOpen(endpoint))
         }
+        // A begun answer is worth another try at an endpoint that has failed before; a refusal tells the caller more.
         path =
             context.paths.find(model, endpoints, ::load, avoid, isOpen)
-                ?: context.paths.find(model, endpoints, ::load, emptySet(), isOpen)
+                ?: context.paths.find(model, endpoints, ::load, emptySet(), isOpen).takeIf { answerBegun }
         hasPath = path != null || context.paths.find(model, endpoints, ::load) != null
         return path?.first
     }
@@ -258,7 +259,7 @@
     }
 
     private fun lost(culprit: EndpointId) {
-        context.directory.failed(monotonicNow(), culprit, context.times.lostPause)
+        context.directory.lost(monotonicNow(), culprit)
         giveUp(culprit)
         context.streams.toList().forEach { it.endpointLost(culprit) }
     }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -124,6 +124,7 @@
     private object NoObjects : SharedObjects {
         override fun read(
             key: ObjectKey,
+            mayBeStale: Boolean,
             result: (WriteEvent) -> Unit,
         ) = result(WriteEvent.Unavailable)
 
