Keep the new code within the linter's bounds

Change: the decision on another attempt is in a function of its own; long lines are broken. No behaviour changes. Measured: mvn validate (ktlint and detekt) passes on all modules.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -20,7 +20,7 @@
      * figures.
      */
     public val requests: Int = 56,
-    /** The copies of the model below which memory for requests is given up: with one copy the first loss stops a zone. */
+    /** The copies below which memory for requests is given up; with one copy the first loss stops a zone. */
     public val leastCopies: Double = 1.3,
     /** Memory for requests that is kept in any case, in usual requests at once. */
     public val leastRequests: Int = 12,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
@@ -45,9 +45,9 @@
     /**
      * Returns the best path, or null when some layer has no endpoint.
      *
-     * Paths inside one zone come first, the own zone's before the others'; one over several zones is only used when no
-     * zone has all layers. [load] gives the used part of an endpoint's memory for requests, and [mayBeFirst] tells which
-     * endpoints take another request.
+     * Paths inside one zone come first, the own zone's before the others'; one over several zones is only used when
+     * no zone has all layers. [load] gives the used part of an endpoint's memory for requests, and [mayBeFirst] tells
+     * which endpoints take another request.
      */
     public fun find(
         model: ModelLayout,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
@@ -100,14 +100,18 @@
  *
  * A request is sent again only if its route allows it or if it certainly did not run, within the retry budget of the
  * service and the caller's time. It runs at most as often as the route has attempts, and no more endpoints than that
- * receive it; the caller of [decide] keeps to the latter with [AttemptHistory.mayReceive]. A refusal as not run is given
- * only if no attempt may have run.
+ * receive it; the caller of [decide] keeps to the latter with [AttemptHistory.mayReceive]. A refusal as not run is
+ * given only if no attempt may have run.
  */
 public class AttemptPolicy(
     private val budget: ServiceBudgets,
     private val settings: AttemptSettings = AttemptSettings(),
 ) {
-    /** Returns what follows [end]; [history] has to include it, and [canResend] tells whether an endpoint is left. */
+    /**
+     * Returns what follows [end].
+     *
+     * [history] has to include it, and [canResend] tells whether an endpoint is left that may receive the request.
+     */
     public fun decide(
         now: Timestamp,
         route: Route,
@@ -118,23 +122,9 @@
         canResend: Boolean = history.mayAddReceiver(route.maxAttempts),
     ): AttemptDecision {
         val timeLeft = expiry - now > settings.leastTime
-        val again =
-            when (end) {
-                AttemptEnd.NotSent -> {
-                    history.unsent < settings.maxUnsent && mayRepeat(route, history)
-                }
-
-                AttemptEnd.NotRun -> {
-                    canResend && history.sends < settings.maxSends && mayRepeat(route, history)
-                }
-
-                AttemptEnd.Failed, AttemptEnd.Unknown -> {
-                    canResend && history.runs < route.maxAttempts && history.sends < settings.maxSends &&
-                        route.mayRepeat
-                }
-            }
+        val again = timeLeft && mayTryAgain(route, history, end, canResend)
         val free = end == AttemptEnd.NotSent && history.sends == 0
-        if (timeLeft && again && (free || budget.takeRetry(now, service))) return AttemptDecision.Retry
+        if (again && (free || budget.takeRetry(now, service))) return AttemptDecision.Retry
         return when {
             end == AttemptEnd.Failed -> AttemptDecision.Deliver
             history.mayHaveRun -> AttemptDecision.Fail
@@ -143,6 +133,21 @@
         }
     }
 
+    private fun mayTryAgain(
+        route: Route,
+        history: AttemptHistory,
+        end: AttemptEnd,
+        canResend: Boolean,
+    ): Boolean {
+        if (!mayRepeat(route, history)) return false
+        val sendLeft = canResend && history.sends < settings.maxSends
+        return when (end) {
+            AttemptEnd.NotSent -> history.unsent < settings.maxUnsent
+            AttemptEnd.NotRun -> sendLeft
+            AttemptEnd.Failed, AttemptEnd.Unknown -> sendLeft && history.runs < route.maxAttempts
+        }
+    }
+
     private fun mayRepeat(
         route: Route,
         history: AttemptHistory,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointSelector.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointSelector.kt
@@ -8,7 +8,7 @@
 
 /** The weights of [EndpointSelector]. */
 public data class SelectorSettings(
-    /** What a request to another zone costs beside the endpoint's own time; it covers both ways and the price of bytes. */
+    /** What a request to another zone costs beside the endpoint's own time: both ways and its bytes. */
     public val otherZone: Duration = 5.milliseconds,
     /** Assumed until an endpoint has answered once. */
     public val firstLatency: Duration = 20.milliseconds,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -70,7 +70,7 @@
         watchAttempt(context.times.firstEvent, ::stalled)
     }
 
-    /** [culprit] does not answer, as another stream has found; a stream that waits for it need not find out by itself. */
+    /** Another stream has found that [culprit] does not answer, so a stream that waits for it need not find out. */
     fun endpointLost(culprit: EndpointId) {
         val waits = elapsed(lastEventAt) >= context.times.quiet
         if (!ended && waits && path?.parts?.any { it.endpoint.id == culprit } == true) giveUp(culprit)
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayCallTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayCallTest.kt
@@ -120,7 +120,8 @@
         val cut =
             endpoint { request, _ ->
                 write(
-                    "HTTP/1.1 200 OK\r\nRequest-Name: ${request["Request-Name"]}\r\nSigned: yes\r\nContent-Length: 100\r\n\r\nshort",
+                    "HTTP/1.1 200 OK\r\nRequest-Name: ${request["Request-Name"]}\r\nSigned: yes\r\n" +
+                        "Content-Length: 100\r\n\r\nshort",
                 )
                 close()
             }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
@@ -159,7 +159,8 @@
             "Content-Length: ${body.length}\r\n\r\n$body"
 
     fun refused(request: SeenRequest): String =
-        "HTTP/1.1 503 Service Unavailable\r\nRequest-Name: ${request["Request-Name"]}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 503 Service Unavailable\r\nRequest-Name: ${request["Request-Name"]}\r\nNot-Run: 1\r\n" +
+            "Content-Length: 0\r\n\r\n"
 
     fun streamHead(request: SeenRequest): String =
         "HTTP/1.1 200 OK\r\nRequest-Name: ${request["Request-Name"]}\r\nSigned: ${request["Expected"]}\r\n" +
