Place a new fleet once its endpoints have registered

Change: the first placement waits until no endpoint has registered for 2.5 s; a fleet in which any endpoint holds layers is repaired at once.

ColdStartTest shows that placing while endpoints register gives small endpoints more than 6 layers.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PlacementComponent.kt
@@ -7,10 +7,12 @@
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.LayerRange
+import oriolespindle.core.id.ServiceId
 import oriolespindle.core.lease.LeaseAction
 import oriolespindle.core.lease.LeaseEvent
 import oriolespindle.core.lease.LeaseHolder
 import oriolespindle.core.lease.LeaseSettings
+import oriolespindle.core.placement.ColdStart
 import oriolespindle.core.placement.LayerOrder
 import oriolespindle.core.placement.LayerPlacer
 import oriolespindle.core.placement.ModelLayout
@@ -43,6 +45,7 @@
 
     private val lease = LeaseHolder(leaseSettings(self))
     private val placer = LayerPlacer()
+    private val coldStarts = HashMap<ServiceId, ColdStart>()
     private val planned = HashMap<EndpointId, Planned>()
     private val orderCounts = HashMap<EndpointId, OrderCount>()
     private var fence: Long? = null
@@ -61,7 +64,7 @@
     private fun tick() {
         val due = lease.nextTimer()
         if (due != null && monotonicNow() >= due) handle(LeaseEvent.Tick)
-        if (holdsLease) place()
+        place()
     }
 
     private fun handle(event: LeaseEvent) {
@@ -109,6 +112,9 @@
                 .orEmpty()
         for (service in services) {
             val endpoints = context.directory.registered(now, service.id)
+            // Candidates watch the registrations too, so that a successor need not wait for them.
+            val mayPlace = coldStarts.getOrPut(service.id) { ColdStart() }.mayPlace(now, endpoints)
+            if (!mayPlace || !holdsLease) continue
             settle(now, endpoints)
             val ranges = planned.mapValues { it.value.layers }
             placer.orders(checkNotNull(service.model), endpoints, ranges).forEach { order(now, service, it) }
