--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -72,7 +72,7 @@
 
     /** Another stream has found that [culprit] does not answer, so a stream that waits for it need not find out. */
     fun endpointLost(culprit: EndpointId) {
-        val waits = elapsed(lastEventAt) >= context.times.quiet
+        val waits = elapsed(lastEventAt) >= context.times.quiet && canGoOnElsewhere()
         if (!ended && waits && path?.parts?.any { it.endpoint.id == culprit } == true) giveUp(culprit)
     }
 
@@ -175,17 +175,12 @@
     private fun completed(head: ClientEvent.Head) {
         val first = first ?: return
         val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
+        val signed = head.headers.contains(context.names.signature)
         when {
             refused -> notRun(head, first)
-
             isStream() -> streamEnded(first.id)
-
-            !head.headers.contains(
-                context.names.signature,
-            ) -> attemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
-
+            !signed -> attemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
             answerBegun -> attemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { cut("endpoint_error") }
-
             else -> attemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head) }
         }
     }
@@ -221,10 +216,15 @@
         attemptFailed(endOf(event), event.kind.name.lowercase(), first)
     }
 
+    /** Whether the stream may be given up here; one that cannot run again is left to its endpoint. */
+    private fun canGoOnElsewhere(): Boolean =
+        call?.sent != true || (request.route.mayRepeat && history.runs + 1 < request.route.maxAttempts)
+
     /** No event arrived in time; the first endpoint knows whether it waits for another one. */
     private fun stalled() {
         val target = first ?: return
         measureFirstEvent()
+        if (!canGoOnElsewhere()) return
         if (call?.sent != true || model == null) {
             giveUp(target.id)
             return
@@ -233,13 +233,8 @@
         val eventsBefore = forwarded
         val isCurrent = { !ended && call === asked && forwarded == eventsBefore }
         watchAttempt(context.times.askAgain) {
-            if (elapsed(lastEventAt) >=
-                context.times.patience
-            ) {
-                giveUp(target.id)
-            } else {
-                stalled()
-            }
+            val patienceOver = elapsed(lastEventAt) >= context.times.patience
+            if (patienceOver) giveUp(target.id) else stalled()
         }
         context.engines.stalledAt(target, request.id.value) { report ->
             if (isCurrent()) {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
@@ -133,6 +133,24 @@
         expectThat(answer.isWhole).isTrue()
     }
 
+    @Test
+    fun `guards against ending a stream that pauses and cannot run again`() {
+        val engine =
+            endpoint("e1") { request, _ ->
+                write(Scripts.streamHead(request))
+                events(1..2)
+                Thread.sleep(1_600)
+                events(3..4)
+                write(Scripts.LAST_CHUNK)
+            }
+        serve(engine, isResumable = false)
+        relay.stallReport = StallReport.NoAnswer
+        val answer = relay.call()
+
+        expectThat(answer.body.removeSuffix("0")).isEqualTo(text(1..4))
+        expectThat(answer.isWhole).isTrue()
+    }
+
     @Test
     fun `guards against each stream finding out by itself that an engine is lost`() {
         val started = java.util.concurrent.CountDownLatch(2)
