Use only the last started of several registrations at one address

Cause: an endpoint that is replaced at its address stays registered under its old id until its registration lapses. Ruled out: a path that repeats an endpoint id, which PathFinder excludes. Change: the directory groups current registrations by address and drops those of earlier processes. The groups are kept until a registration changes, so that a request does not go through all registrations. Test: EndpointDirectoryTest, which failed before.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -29,7 +29,8 @@
  *
  * An endpoint is dropped at once when its registration is removed while the store answers. A registration that is
  * missing after a store outage may only have lapsed, so its endpoint stays in use until
- * [DirectorySettings.renewalTimeout] after the store's return. Failures and refusals put an endpoint into an
+ * [DirectorySettings.renewalTimeout] after the store's return. Of several registrations at one address only the last
+ * started process can answer, so the others are not used even if they are still registered. Failures and refusals put an endpoint into an
  * exponential backoff. Progress of a request that was sent before a refusal does not end the refusal's backoff, since
  * an endpoint that leaves finishes its earlier requests, too.
  */
@@ -48,6 +49,9 @@
     }
 
     private val entries = HashMap<EndpointId, Entry>()
+
+    /** The current entries by service; null after a change of the registrations. */
+    private var entriesByService: Map<ServiceId, List<Entry>>? = null
     private var isStoreLost = false
 
     /** When registrations that lapsed in the latest store outage expire; null before it and while it lasts. */
@@ -74,6 +78,8 @@
     /** Adds or updates the registration of [endpoint]; one of an earlier process with the same id is ignored. */
     public fun put(endpoint: RelayEndpoint) {
         val known = entries[endpoint.id]
+        if (known != null && known.endpoint == endpoint && known.lapsedUntil == null) return
+        entriesByService = null
         if (known == null || endpoint.startedAt > known.endpoint.startedAt) {
             entries[endpoint.id] = Entry(endpoint)
         } else if (endpoint.startedAt == known.endpoint.startedAt) {
@@ -91,6 +97,7 @@
     ) {
         val until = renewalDeadline
         val entry = entries[endpoint] ?: return
+        entriesByService = null
         if (isStoreLost || (until != null && now < until)) {
             if (entry.lapsedUntil == null) entry.lapsedUntil = until ?: Timestamp(Long.MAX_VALUE)
         } else {
@@ -155,6 +162,7 @@
 
     /** Removes [endpoint], because another process uses its address and the registration is out of date. */
     public fun onReplaced(endpoint: EndpointId) {
+        entriesByService = null
         entries.remove(endpoint)
     }
 
@@ -172,19 +180,32 @@
     public fun registered(
         now: Timestamp,
         service: ServiceId,
-    ): List<RelayEndpoint> = currentEntries(now).map { it.endpoint }.filter { it.service == service }
+    ): List<RelayEndpoint> = currentEntries(now, service).map { it.endpoint }
 
     /** Returns the endpoints of [service] that may receive a request now. */
     public fun usable(
         now: Timestamp,
         service: ServiceId,
     ): List<RelayEndpoint> =
-        currentEntries(now)
-            .filter { it.endpoint.service == service && !it.endpoint.isLeaving && !it.isBackingOff(now) }
+        currentEntries(now, service)
+            .filter { !it.endpoint.isLeaving && !it.isBackingOff(now) }
             .map { it.endpoint }
 
-    private fun currentEntries(now: Timestamp): List<Entry> {
-        entries.values.removeIf { entry -> entry.lapsedUntil?.let { now >= it } ?: false }
-        return entries.values.toList()
+    private fun currentEntries(
+        now: Timestamp,
+        service: ServiceId,
+    ): List<Entry> {
+        val expired = entries.values.removeIf { entry -> entry.lapsedUntil?.let { now >= it } ?: false }
+        val grouped = entriesByService?.takeUnless { expired } ?: groupByService().also { entriesByService = it }
+        return grouped[service].orEmpty()
     }
+
+    private fun groupByService(): Map<ServiceId, List<Entry>> =
+        entries.values
+            .groupBy { it.endpoint.address }
+            .values
+            .flatMap { sharing ->
+                val lastStart = sharing.maxOf { it.endpoint.startedAt }
+                sharing.filter { it.endpoint.startedAt == lastStart }
+            }.groupBy { it.endpoint.service }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -48,6 +48,20 @@
         expectThat(usable(back + 3.seconds)).containsExactly("a")
     }
 
+    @Test
+    fun `uses only the last started of several registrations at one address`() {
+        directory.replaceAll(start, listOf(endpoint("old", startedAt = 1), endpoint("new", startedAt = 2)))
+        expectThat(usable()).containsExactly("new")
+        expectThat(directory.registered(start, service).map { it.id.value }).containsExactly("new")
+
+        val other = endpoint("other", startedAt = 3).copy(service = ServiceId("t"))
+        directory.put(other)
+        expectThat(usable()).isEmpty()
+
+        directory.remove(start, other.id)
+        expectThat(usable()).containsExactly("new")
+    }
+
     @Test
     fun `guards against sending to an endpoint that refuses while it finishes earlier requests`() {
         val a = EndpointId("a")
