--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/TimerService.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/TimerService.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.runtime
 
 import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.ScheduledFuture
@@ -13,7 +14,8 @@
 /**
  * Runs delayed and periodic tasks on one thread.
  *
- * A task must not block, since it would delay all others; it should only post a message to its component.
+ * A task must not block, since it would delay all others; it should only post a message to its component. A task that
+ * throws is logged, and a periodic one is called again after its period.
  */
 public class TimerService(
     private val executor: ScheduledExecutorService =
@@ -27,14 +29,23 @@
         task: () -> Unit,
     ): ScheduledFuture<*> {
         val nanos = period.inWholeNanoseconds
-        return executor.scheduleWithFixedDelay(task, nanos, nanos, TimeUnit.NANOSECONDS)
+        return executor.scheduleWithFixedDelay({ run(task) }, nanos, nanos, TimeUnit.NANOSECONDS)
     }
 
     /** Calls [task] once after [delay]. */
     public fun after(
         delay: Duration,
         task: () -> Unit,
-    ): ScheduledFuture<*> = executor.schedule(task, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+    ): ScheduledFuture<*> = executor.schedule({ run(task) }, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+
+    /** Catches all exceptions, since the executor would drop them and never run the task again. */
+    private fun run(task: () -> Unit) {
+        try {
+            task()
+        } catch (e: Exception) {
+            EventLog.warn("timer task failed", "cause" to e, "at" to e.stackTrace.firstOrNull())
+        }
+    }
 
     override fun close() {
         executor.shutdownNow()
