Accept the connections that wait when a listener closes

Cause: closing a listener resets the connections that are established but not accepted yet, and with them requests that their callers have just sent. A planned stop under load does this whenever the event loop is late. Change: the listener closes 20 ms after it is told to, within which the event loop accepts what is waiting. Test: HttpServerTest blocks the event loop while a caller connects and sends; its connection was reset before.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor
 import oriolespindle.core.contract.ContractCodec
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -70,10 +71,16 @@
         connections.forEach { it.pipeline().fireUserEventTriggered(CloseWhenIdle(idleFor)) }
     }
 
-    /** Stops accepting connections. */
+    /**
+     * Stops accepting connections, after those that are already established have been accepted.
+     *
+     * Closing the listener at once would reset them, although their callers may have sent a request.
+     */
     fun stopAccepting() {
-        val closed = listener?.close() ?: return
-        if (!closed.channel().eventLoop().inEventLoop()) closed.syncUninterruptibly()
+        val channel = listener ?: return
+        val loop = channel.eventLoop()
+        val closed = loop.schedule({ channel.close() }, ACCEPT_DRAIN_MILLIS, TimeUnit.MILLISECONDS)
+        if (!loop.inEventLoop()) closed.syncUninterruptibly()
     }
 
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
@@ -107,6 +114,9 @@
 
     private companion object {
         const val BACKLOG = 1024
+
+        /** Several iterations of an idle event loop, each of which accepts the connections that are waiting. */
+        const val ACCEPT_DRAIN_MILLIS = 20L
         const val LOW_MARK = 16 * 1024
         const val HIGH_MARK = 64 * 1024
         const val MAX_INITIAL_LINE_BYTES = 8 * 1024
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
@@ -8,12 +8,14 @@
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -104,6 +106,25 @@
         expectThat(exchange(CLOSING_GET)).contains(HANDLED)
     }
 
+    @Test
+    fun `serves a connection that waits to be accepted when the listener closes`() {
+        val server = HttpServer(group, settings) { it.respond(HttpAnswer.json(200, HANDLED)) }
+        val target = server.bind(Address("127.0.0.1", 0))
+        val connected = CountDownLatch(1)
+        group.next().execute {
+            connected.await()
+            server.stopAccepting()
+        }
+        Socket(target.host, target.port).use { socket ->
+            socket.getOutputStream().write(CLOSING_GET.toByteArray())
+            connected.countDown()
+
+            expectThat(socket.getInputStream().readAllBytes().decodeToString()).contains(HANDLED)
+        }
+        Thread.sleep(ACCEPT_END_MILLIS)
+        expectThrows<IOException> { Socket(target.host, target.port).close() }
+    }
+
     private fun exchange(text: String): String = exchange(text.toByteArray())
 
     /** Sends [bytes], shuts down the output and returns what the server sends until it closes the connection. */
@@ -128,6 +149,9 @@
         const val END_OF_STREAM = -1
         const val READ_TIMEOUT_MILLIS = 60_000
         const val POLL_INTERVAL_MILLIS = 5L
+
+        /** Much longer than a closing listener goes on accepting. */
+        const val ACCEPT_END_MILLIS = 500L
         val handled = AtomicInteger()
         val kept = LinkedBlockingQueue<ServerExchange>()
         private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
