Resume a begun stream after a delay while its engines refuse it

A retry that could not be sent was also charged to the budget. Change: AttemptPolicy answers RetryLater for a begun answer: 100 ms, doubled up to 400 ms, until the deadline or until the caller leaves.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
@@ -26,6 +26,11 @@
     /** Send the request again, to another endpoint if there is one. */
     public data object Retry : AttemptDecision
 
+    /** Decide again after [delay] with [AttemptPolicy.decideResumption], since the caller has a part of the answer. */
+    public data class RetryLater(
+        public val delay: Duration,
+    ) : AttemptDecision
+
     /** Forward the endpoint's error response unchanged. */
     public data object Deliver : AttemptDecision
 
@@ -54,6 +59,12 @@
     public var unsent: Int = 0
         private set
 
+    /** Whether a retry was taken from the budget whose attempt has not been sent yet. */
+    internal var hasUnusedRetry: Boolean = false
+
+    /** The number of delays so far before attempts to resume a begun answer. */
+    internal var resumptionDelays: Int = 0
+
     /** Whether any attempt may have run. */
     public val mayHaveRun: Boolean get() = runs > 0
 
@@ -67,6 +78,7 @@
             return
         }
         sends++
+        hasUnusedRetry = false
         receiver?.let(receivers::add)
         if (end == AttemptEnd.Failed || end == AttemptEnd.Unknown) runs++
     }
@@ -93,6 +105,10 @@
     public val retryAfterBusy: Duration = 100.milliseconds,
     /** The delay suggested to the caller when no endpoint could be reached; repairs take seconds. */
     public val retryAfterUnreachable: Duration = 500.milliseconds,
+    /** The first delay before a begun answer is resumed after a refusal; it doubles with each further one. */
+    public val initialResumptionDelay: Duration = 100.milliseconds,
+    /** The longest delay before a begun answer is resumed; callers give up a stream after gaps of about two seconds. */
+    public val maxResumptionDelay: Duration = 400.milliseconds,
 )
 
 /**
@@ -100,8 +116,13 @@
  *
  * A request is retried only if its route allows it or if it certainly did not run, within the retry budget of the
  * service and before the caller's deadline. It runs at most [Route.maxAttempts] times and is received by at most as
- * many endpoints; callers of [decide] enforce the latter with [AttemptHistory.mayReceive]. Retries do not count against
- * the budget until something has been sent. A request is refused as not run only if no attempt may have run.
+ * many endpoints; callers of [decide] enforce the latter with [AttemptHistory.mayReceive]. A retry counts against the
+ * budget once something has been sent before; one that could not be sent is used for the next attempt. A request is
+ * refused as not run only if no attempt may have run.
+ *
+ * An answer that has begun cannot be refused any more. While endpoints refuse to resume it, or none can be reached, it is
+ * retried after delays until the deadline or until the caller leaves: engines that lose a neighbor refuse for moments,
+ * in which all streams of a path would otherwise be cut off.
  */
 public class AttemptPolicy(
     private val budget: ServiceBudgets,
@@ -110,7 +131,8 @@
     /**
      * Returns the action to take after an attempt that ended with [end].
      *
-     * [history] must include that attempt. [canResend] tells whether some endpoint may still receive the request.
+     * [history] must include that attempt. [canResend] tells whether some endpoint may still receive the request, and
+     * [answerBegun] whether the caller has a part of the answer.
      */
     public fun decide(
         now: Timestamp,
@@ -120,11 +142,13 @@
         end: AttemptEnd,
         expiry: Timestamp,
         canResend: Boolean = history.mayAddReceiver(route.maxAttempts),
+        answerBegun: Boolean = false,
     ): AttemptDecision {
         val hasTimeLeft = expiry - now > settings.minTimeLeft
+        val isRefused = end == AttemptEnd.NotSent || end == AttemptEnd.NotRun
+        if (answerBegun && isRefused && hasTimeLeft && route.isRetryable && canResend) return retryLater(history)
         val mayRetryNow = hasTimeLeft && mayRetry(route, history, end, canResend)
-        val isUnbudgeted = end == AttemptEnd.NotSent && history.sends == 0
-        if (mayRetryNow && (isUnbudgeted || budget.takeRetry(now, service))) return AttemptDecision.Retry
+        if (mayRetryNow && takeRetry(now, service, history)) return AttemptDecision.Retry
         return when {
             end == AttemptEnd.Failed -> AttemptDecision.Deliver
             history.mayHaveRun -> AttemptDecision.Fail
@@ -133,6 +157,51 @@
         }
     }
 
+    /** Returns whether a begun answer is resumed now, after the delay of [AttemptDecision.RetryLater]. */
+    public fun decideResumption(
+        now: Timestamp,
+        service: ServiceId,
+        history: AttemptHistory,
+        expiry: Timestamp,
+    ): AttemptDecision =
+        when {
+            expiry - now <= settings.minTimeLeft -> AttemptDecision.Fail
+            takeRetry(now, service, history) -> AttemptDecision.Retry
+            else -> retryLater(history)
+        }
+
+    /**
+     * Returns whether an attempt that is still in progress, and may have run, may be replaced by another one.
+     *
+     * An attempt that must not be replaced may be slow but sound, so its answer is awaited.
+     */
+    public fun mayReplace(
+        now: Timestamp,
+        route: Route,
+        service: ServiceId,
+        history: AttemptHistory,
+        expiry: Timestamp,
+        canResend: Boolean = history.mayAddReceiver(route.maxAttempts),
+    ): Boolean =
+        expiry - now > settings.minTimeLeft && route.isRetryable && canResend &&
+            history.runs + 1 < route.maxAttempts && history.sends + 1 < settings.maxSends &&
+            budget.hasRetry(now, service)
+
+    private fun retryLater(history: AttemptHistory): AttemptDecision {
+        val factor = 1 shl minOf(history.resumptionDelays++, MAX_DOUBLINGS)
+        return AttemptDecision.RetryLater(minOf(settings.initialResumptionDelay * factor, settings.maxResumptionDelay))
+    }
+
+    private fun takeRetry(
+        now: Timestamp,
+        service: ServiceId,
+        history: AttemptHistory,
+    ): Boolean {
+        if (history.sends == 0 || history.hasUnusedRetry) return true
+        history.hasUnusedRetry = budget.takeRetry(now, service)
+        return history.hasUnusedRetry
+    }
+
     private fun mayRetry(
         route: Route,
         history: AttemptHistory,
@@ -152,4 +221,9 @@
         route: Route,
         history: AttemptHistory,
     ): Boolean = route.isRetryable || !history.mayHaveRun
+
+    private companion object {
+        /** Bounds the factor of a delay, which reaches its maximum after a few doublings. */
+        const val MAX_DOUBLINGS = 5
+    }
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ServiceBudgets.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ServiceBudgets.kt
@@ -63,13 +63,22 @@
         now: Timestamp,
         service: ServiceId,
     ): Boolean {
+        if (!hasRetry(now, service)) return false
         val window = currentWindow(now, service)
-        val allowed = settings.safety * settings.ratio * window.requests.sum() + burstShare(now)
-        if (window.retries.sum() + 1 > allowed) return false
         window.retries[index(window)]++
         return true
     }
 
+    /** Returns whether the budget of [service] has a retry left. */
+    public fun hasRetry(
+        now: Timestamp,
+        service: ServiceId,
+    ): Boolean {
+        val window = currentWindow(now, service)
+        val allowed = settings.safety * settings.ratio * window.requests.sum() + burstShare(now)
+        return window.retries.sum() + 1 <= allowed
+    }
+
     private fun burstShare(now: Timestamp): Double {
         val instanceCount = instances ?: return 0.0
         val fraction = if (now - startedAt < settings.window) settings.firstWindowPart else settings.safety
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -1,5 +1,7 @@
 package oriolespindle.router.relay
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.relay.AttemptDecision
 import oriolespindle.core.relay.AttemptEnd
@@ -66,6 +68,11 @@
 
     protected fun isAnswer(answerId: String?): Boolean = answerId == null || answerId == request.id.value
 
+    /** Whether [headers] are of an endpoint's own answer to this request, whose body arrives as the endpoint sent it. */
+    protected fun isEndpointAnswer(headers: HttpHeaders): Boolean =
+        headers.contains(context.names.signature) && headers.contains(context.names.requestId) &&
+            !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
+
     protected fun send(
         endpoint: RelayEndpoint,
         headers: List<Pair<String, String>>,
@@ -143,6 +150,7 @@
                 end = end,
                 expiry = request.expiry,
                 canResend = canResend(),
+                answerBegun = answerBegun,
             )
         EventLog.info(
             "attempt failed",
@@ -153,8 +161,17 @@
             "sends" to history.sends,
             "decision" to decision,
         )
+        perform(decision, reason, deliver)
+    }
+
+    private fun perform(
+        decision: AttemptDecision,
+        reason: String,
+        deliver: () -> Unit = {},
+    ) {
         when (decision) {
             AttemptDecision.Retry -> retry(reason)
+            is AttemptDecision.RetryLater -> retryLater(decision.delay, reason)
             AttemptDecision.Deliver -> deliver()
             is AttemptDecision.Refuse -> if (answerBegun) abort(reason) else refuse(reason, decision.retryAfter)
             AttemptDecision.Fail -> if (answerBegun) abort(reason) else fail(BAD_GATEWAY, reason)
@@ -166,6 +183,25 @@
         startAttempt()
     }
 
+    private fun retryLater(
+        delay: Duration,
+        reason: String,
+    ) = watchAttempt(delay) {
+        val service = request.service.id
+        perform(context.policy.decideResumption(monotonicNow(), service, history, request.expiry), reason)
+    }
+
+    /** Whether the attempt in progress, which may have run, may be replaced; otherwise its answer is awaited. */
+    protected fun mayReplaceAttempt(): Boolean =
+        context.policy.mayReplace(
+            now = monotonicNow(),
+            route = request.route,
+            service = request.service.id,
+            history = history,
+            expiry = request.expiry,
+            canResend = canResend(),
+        )
+
     /** Answers that the request did not run and will not run. */
     protected fun refuse(
         reason: String,
