Bound answers that never end, and keep slow ones that are sound

Answers to other requests and interim answers were skipped without end. A stream whose caller read slowly was taken for stalled and run again. - Comments in a stream counted as progress, so that a stalled engine that sends one now and then was never left. Already right before: an endless head and endless line breaks (bounded by the decoder), answers cut in the middle.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
@@ -6,13 +6,24 @@
     public val bytes: ByteArray,
     /** The numeric id of the event, or null if it has none. */
     public val id: Long?,
+    /** Whether it has no field, so that it carries no part of the answer: a comment or blank lines. */
+    public val isComment: Boolean = false,
 )
 
 /** Splits an event stream into complete events and buffers the bytes after the last blank line. */
-public class EventFramer {
+public class EventFramer(
+    /** The most bytes of one event, from which [isOversized] is set. */
+    private val maxEventBytes: Int = 256 * 1024,
+) {
     private var buffer = ByteArray(INITIAL_CAPACITY)
     private var size = 0
 
+    /** The position up to which the buffer is known not to end an event. */
+    private var scanned = 0
+
+    /** Whether the buffered part of an event exceeds the limit; such a stream cannot continue. */
+    public val isOversized: Boolean get() = size > maxEventBytes
+
     /** Whether an event is buffered that is not complete yet. */
     public val hasPartialEvent: Boolean get() = size > 0
 
@@ -23,7 +34,7 @@
         size += bytes.size
         val events = ArrayList<FramedEvent>()
         var start = 0
-        var position = 0
+        var position = scanned
         while (position + 1 < size) {
             val length = eventEndLength(position)
             if (length == 0) {
@@ -32,17 +43,20 @@
             }
             position += length
             val event = buffer.copyOfRange(start, position)
-            events += FramedEvent(event, id(event))
+            events += framed(event)
             start = position
         }
         buffer.copyInto(buffer, 0, start, size)
         size -= start
+        // A line break at the very end may be the first half of the end of an event.
+        scanned = maxOf(0, size - MAX_EVENT_END)
         return events
     }
 
     /** Discards a partial event; must be called before bytes of another answer are fed. */
     public fun reset() {
         size = 0
+        scanned = 0
     }
 
     /** Returns the length of the line break and blank line at [position] that end an event, or 0 if there is none. */
@@ -55,14 +69,19 @@
 
     private fun isCrLf(position: Int) = position + 1 < size && buffer[position] == CR && buffer[position + 1] == LF
 
-    private fun id(event: ByteArray): Long? {
-        val line = event.decodeToString().lineSequence().firstOrNull { it.startsWith(ID_FIELD) }
-        return line?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
+    private fun framed(event: ByteArray): FramedEvent {
+        val lines = event.decodeToString().lineSequence().filter { it.isNotEmpty() && !it.startsWith(COMMENT) }
+        val id = lines.firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)
+        return FramedEvent(event, id?.trim()?.toLongOrNull(), isComment = lines.none())
     }
 
     private companion object {
         const val INITIAL_CAPACITY = 1024
         const val ID_FIELD = "id:"
+        const val COMMENT = ':'
+
+        /** One byte less than two line breaks of two bytes. */
+        const val MAX_EVENT_END = 3
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.GlobalEventExecutor
+import oriolespindle.router.logging.EventLog
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -150,6 +152,9 @@
     /** Whether the response being received is skipped: it is interim or belongs to an earlier request. */
     private var isSkipped = false
 
+    /** The bytes received for the current call that are no part of its response. */
+    private var skippedBytes = 0L
+
     /** Sends [message] for [call], whose response is the next one that [isAnswer] accepts. */
     fun send(
         ctx: ChannelHandlerContext,
@@ -158,6 +163,7 @@
         isAnswer: (HttpHeaders) -> Boolean,
     ) {
         current = call
+        skippedBytes = 0
         this.isAnswer = isAnswer
         requestWritten = ctx.channel().writeAndFlush(message)
     }
@@ -184,7 +190,10 @@
             return
         }
         if (message is HttpResponse) isSkipped = message.status().codeClass() == INTERIM || !isAnswer(message.headers())
-        if (isSkipped) return
+        if (isSkipped) {
+            skip(ctx, call, message)
+            return
+        }
         if (message is HttpResponse) {
             keepAlive = HttpUtil.isKeepAlive(message)
             keepAliveTimeout = keepAliveTimeout(message.headers())
@@ -198,6 +207,19 @@
         if (message is LastHttpContent) complete(ctx, call)
     }
 
+    /** Ends the call when too many bytes arrive that are no part of its response, since they may never end. */
+    private fun skip(
+        ctx: ChannelHandlerContext,
+        call: ClientCall,
+        message: HttpObject,
+    ) {
+        skippedBytes += if (message is HttpContent) message.content().readableBytes() else SKIPPED_HEAD_BYTES
+        if (skippedBytes <= MAX_SKIPPED_BYTES) return
+        current = null
+        call.fail(FailureKind.MALFORMED)
+        ctx.close()
+    }
+
     private fun complete(
         ctx: ChannelHandlerContext,
         call: ClientCall,
@@ -234,11 +256,17 @@
         // Otherwise the decoder would treat a connection reset as the end of a response without a length.
         val call = current
         current = null
+        if (cause !is IOException) EventLog.warn("call failed", "server" to address, "cause" to cause)
         call?.fail(FailureKind.CONNECTION_LOST)
         ctx.close()
     }
 
     private companion object {
+        /** Enough for a second copy of an earlier answer. */
+        const val MAX_SKIPPED_BYTES = 1024L * 1024
+
+        /** The assumed size of the head of a skipped response. */
+        const val SKIPPED_HEAD_BYTES = 256
         val INTERIM = HttpStatusClass.INFORMATIONAL
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
         val CLOSE_MARGIN = 200.milliseconds
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import oriolespindle.router.runtime.monotonicNow
-import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -41,6 +40,9 @@
 ) {
     private val pool = ConnectionPool(settings.maxIdle, settings.maxIdlePerAddress)
 
+    /** Bounds the answers that calls of this client collect before they are complete. */
+    public val buffers: AnswerBufferQuota = AnswerBufferQuota()
+
     /** Sends [request] and passes the events of the call to [listener]; a null [timeout] means no time limit. */
     public fun send(
         request: ClientRequest,
@@ -76,17 +78,37 @@
         timeout: Duration,
         result: (HttpOutcome) -> Unit,
     ) {
-        val body = ByteArrayOutputStream()
+        val body = AnswerBuffer(buffers)
         var status = 0
-        send(request, timeout) { event ->
-            when (event) {
-                is ClientEvent.Head -> status = event.status
-                is ClientEvent.Data -> body.writeBytes(event.bytes)
-                is ClientEvent.End -> result(HttpOutcome.Response(status, body.toByteArray()))
-                is ClientEvent.Failed -> result(if (event.sent) HttpOutcome.Lost else HttpOutcome.NotSent)
+        var isOversized = false
+        var call: ClientCall? = null
+        call =
+            send(request, timeout) { event ->
+                when (event) {
+                    is ClientEvent.Head -> {
+                        status = event.status
+                    }
+
+                    is ClientEvent.Data -> {
+                        if (!isOversized && !body.append(event.bytes)) {
+                            isOversized = true
+                            call?.cancel()
+                        }
+                    }
+
+                    is ClientEvent.End -> {
+                        val bytes = body.toByteArray()
+                        body.clear()
+                        result(HttpOutcome.Response(status, bytes))
+                    }
+
+                    is ClientEvent.Failed -> {
+                        body.clear()
+                        result(if (event.sent) HttpOutcome.Lost else HttpOutcome.NotSent)
+                    }
+                }
+                true
             }
-            true
-        }
     }
 
     /** Closes the pooled connections that have been idle for the maximum idle time. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import oriolespindle.router.logging.EventLog
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 
@@ -246,6 +248,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        if (cause !is IOException) EventLog.warn("request failed", "cause" to cause)
         ctx.close()
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -1,21 +1,20 @@
 package oriolespindle.router.relay
 
-import io.netty.handler.codec.http.HttpHeaderNames
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.relay.AttemptEnd
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.core.relay.RouteKind
 import oriolespindle.core.time.Timestamp
+import oriolespindle.router.http.AnswerBuffer
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.runtime.monotonicNow
-import java.io.ByteArrayOutputStream
 
 /** Relays a request to a plain service and passes its answer on once it is complete. */
 internal class CallSession(
     context: RelayContext,
     request: RelayRequest,
 ) : RelaySession(context, request) {
-    private val body = ByteArrayOutputStream()
+    private val body = AnswerBuffer(context.http.buffers)
     private var head: ClientEvent.Head? = null
     private var endpoint: RelayEndpoint? = null
     private var startedAt = Timestamp.ZERO
@@ -33,7 +32,6 @@
             return
         }
         head = null
-        body.reset()
         endpoint = chosen
         startedAt = now
         context.selector.onRequestStarted(chosen.id)
@@ -44,6 +42,7 @@
     }
 
     override fun onAttemptEnded() {
+        body.clear()
         endpoint?.let {
             context.selector.onRequestEnded(monotonicNow(), it.id, elapsed(startedAt), failed = !isSuccess())
         }
@@ -53,7 +52,7 @@
     private fun onEvent(event: ClientEvent) {
         when (event) {
             is ClientEvent.Head -> head = event
-            is ClientEvent.Data -> body.writeBytes(event.bytes)
+            is ClientEvent.Data -> if (!body.append(event.bytes)) onOversized()
             is ClientEvent.End -> head?.let(::onResponse)
             is ClientEvent.Failed -> onFailure(event)
         }
@@ -65,24 +64,36 @@
         onAttemptFailed(endOf(event), event.kind.name.lowercase(), failedId)
     }
 
+    private fun onOversized() {
+        val faulty = endpoint?.id
+        abandonCall()
+        onAttemptFailed(AttemptEnd.Unknown, "answer_too_large", faulty)
+    }
+
+    /** Retries at another endpoint; without one, the answer may only be slow and is awaited. */
     private fun onSilence() {
         val silentEndpoint = endpoint?.id
         val sent = call?.sent == true
+        if (sent && !(mayReplaceAttempt() && hasOtherEndpoint())) return
         abandonCall()
         onAttemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, "silent", silentEndpoint)
     }
 
+    private fun hasOtherEndpoint(): Boolean =
+        context.directory.usable(monotonicNow(), request.service.id).any {
+            it.id != endpoint?.id && it.id !in avoid && mayReceive(it.id)
+        }
+
     private fun onResponse(head: ClientEvent.Head) {
         val from = endpoint ?: return
-        val signed = head.headers.contains(context.names.signature)
-        val encoded = head.headers.contains(HttpHeaderNames.CONTENT_ENCODING)
         val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
         context.directory.onSuccess(from.id, startedAt)
+        val answer = body.toByteArray()
         when {
             refused -> onRefused(head, from)
-            !signed || encoded -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", from.id)
-            head.status in SUCCESS_FIRST..SUCCESS_LAST || head.status < SERVER_ERROR -> deliver(head)
-            else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", from.id) { deliver(head) }
+            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", from.id)
+            head.status in SUCCESS_FIRST..SUCCESS_LAST || head.status < SERVER_ERROR -> deliver(head, answer)
+            else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", from.id) { deliver(head, answer) }
         }
     }
 
@@ -94,10 +105,13 @@
         onAttemptFailed(AttemptEnd.NotRun, "endpoint_refused", from.id)
     }
 
-    private fun deliver(head: ClientEvent.Head) {
+    private fun deliver(
+        head: ClientEvent.Head,
+        answer: ByteArray,
+    ) {
         context.metrics.onAnswerBegun(elapsed(request.arrivedAt))
         complete(head.status)
-        exchange.relay(head.status, context.headers.forCaller(head.headers), body.toByteArray())
+        exchange.relay(head.status, context.headers.forCaller(head.headers), answer)
     }
 
     private fun isSuccess(): Boolean = head?.let { it.status < SERVER_ERROR } ?: false
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -1,6 +1,5 @@
 package oriolespindle.router.relay
 
-import io.netty.handler.codec.http.HttpHeaderNames
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.placement.LayerPath
 import oriolespindle.core.placement.ModelLayout
@@ -10,10 +9,10 @@
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.core.relay.StreamPosition
 import oriolespindle.core.time.Timestamp
+import oriolespindle.router.http.AnswerBuffer
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
-import java.io.ByteArrayOutputStream
 
 /**
  * Relays a request whose answer is a stream of events, from a path of engines or from a plain service.
@@ -28,7 +27,7 @@
 ) : RelaySession(context, request) {
     private val framer = EventFramer()
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
-    private val failureBody = ByteArrayOutputStream()
+    private val failureBody = AnswerBuffer(context.http.buffers)
     private val tokens = requestTokens()
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
@@ -60,16 +59,25 @@
         context.concurrency.onStreamStarted(target.id)
         head = null
         framer.reset()
-        failureBody.reset()
         if (answerBegun) position.onResumed()
         path?.let { context.load.onRequestStarted(it, tokens) }
-        exchange.onWritable = { writable -> if (writable) call?.resumeReading() else call?.pauseReading() }
+        exchange.onWritable = ::onCallerWritable
         send(target, pathHeaders(), maxIdle = null, ::onEvent)
         lastEventAt = startedAt
         context.streams += this
         watchAttempt(context.times.firstEventTimeout, ::onStalled)
     }
 
+    /** Stops reading from the endpoint while the caller does not take what was written for it. */
+    private fun onCallerWritable(writable: Boolean) {
+        if (!writable) {
+            call?.pauseReading()
+            return
+        }
+        lastEventAt = monotonicNow()
+        call?.resumeReading()
+    }
+
     /** Called when another stream has found that [faulty] does not answer; abandons an attempt that waits for it. */
     fun onEndpointLost(faulty: EndpointId) {
         val mayAbandon = elapsed(lastEventAt) >= context.times.minSilence && canRestartElsewhere()
@@ -103,6 +111,7 @@
     override fun onAttemptEnded() {
         path?.let { context.load.onRequestEnded(it, tokens) }
         path = null
+        failureBody.clear()
         first?.let { context.concurrency.onStreamEnded(it.id) }
         context.streams -= this
         first = null
@@ -117,7 +126,7 @@
     private fun onEvent(event: ClientEvent) {
         when (event) {
             is ClientEvent.Head -> head = event
-            is ClientEvent.Data -> if (isStream()) forwardEvents(event.bytes) else failureBody.writeBytes(event.bytes)
+            is ClientEvent.Data -> onData(event.bytes)
             is ClientEvent.End -> head?.let(::onCompleted)
             is ClientEvent.Failed -> onFailure(event)
         }
@@ -125,13 +134,26 @@
 
     private fun isStream(): Boolean {
         val current = head ?: return false
-        val signed = current.headers.contains(context.names.signature)
-        val encoded = current.headers.contains(HttpHeaderNames.CONTENT_ENCODING)
-        return current.status in SUCCESS_FIRST..SUCCESS_LAST && signed && !encoded
+        return current.status in SUCCESS_FIRST..SUCCESS_LAST && isEndpointAnswer(current.headers)
+    }
+
+    private fun onData(bytes: ByteArray) {
+        val current = call
+        val isAccepted = if (isStream()) forwardEvents(bytes) else failureBody.append(bytes)
+        if (isAccepted || ended || call !== current) return
+        val faulty = first?.id
+        abandonCall()
+        onAttemptFailed(AttemptEnd.Unknown, "answer_too_large", faulty)
     }
 
-    private fun forwardEvents(bytes: ByteArray) {
+    /** Forwards the events that [bytes] complete; returns false if the event after them has become too large. */
+    private fun forwardEvents(bytes: ByteArray): Boolean {
         for (record in framer.feed(bytes)) {
+            if (record.isComment) {
+                // Comments keep connections open but are no progress, so they do not end the wait for an event.
+                if (answerBegun) exchange.writeChunk(record.bytes)
+                continue
+            }
             when (position.accept(record.id)) {
                 EventVerdict.FORWARD -> {
                     forward(record.bytes)
@@ -142,12 +164,14 @@
                 }
 
                 EventVerdict.GAP -> {
+                    val faulty = first?.id
                     abandonCall()
-                    onAttemptFailed(AttemptEnd.Unknown, "event_missing", first?.id)
-                    return
+                    onAttemptFailed(AttemptEnd.Unknown, "event_missing", faulty)
+                    return true
                 }
             }
         }
+        return !framer.isOversized
     }
 
     private fun forward(event: ByteArray) {
@@ -200,13 +224,13 @@
     private fun onCompleted(head: ClientEvent.Head) {
         val first = first ?: return
         val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
-        val signed = head.headers.contains(context.names.signature)
+        val failure = failureBody.toByteArray()
         when {
             refused -> onRefused(head, first)
             isStream() -> onStreamEnded(first.id)
-            !signed -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
+            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
             answerBegun -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
-            else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head) }
+            else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
         }
     }
 
@@ -221,9 +245,12 @@
         exchange.endStream()
     }
 
-    private fun deliverFailure(head: ClientEvent.Head) {
+    private fun deliverFailure(
+        head: ClientEvent.Head,
+        body: ByteArray,
+    ) {
         complete(head.status)
-        exchange.relay(head.status, context.headers.forCaller(head.headers), failureBody.toByteArray())
+        exchange.relay(head.status, context.headers.forCaller(head.headers), body)
     }
 
     private fun onRefused(
@@ -242,12 +269,15 @@
     }
 
     /** Whether the attempt may be abandoned for another one; a stream that cannot run again stays at its endpoint. */
-    private fun canRestartElsewhere(): Boolean =
-        call?.sent != true || (request.route.isRetryable && history.runs + 1 < request.route.maxAttempts)
+    private fun canRestartElsewhere(): Boolean = call?.sent != true || mayReplaceAttempt()
 
     /** Called when no event arrived in time; asks the path's first endpoint whether it waits for another one. */
     private fun onStalled() {
         val target = first ?: return
+        if (!exchange.isWritable) {
+            watchAttempt(context.times.eventTimeout, ::onStalled)
+            return
+        }
         recordFirstEventLatency()
         pollPaces()
         if (!canRestartElsewhere()) return
@@ -259,7 +289,7 @@
         val forwardedBefore = forwardedEvents
         val isCurrent = { !ended && call === reportedCall && forwardedEvents == forwardedBefore }
         watchAttempt(context.times.stallReportInterval) {
-            val isGapExceeded = elapsed(lastEventAt) >= context.times.maxEventGap
+            val isGapExceeded = exchange.isWritable && elapsed(lastEventAt) >= context.times.maxEventGap
             if (isGapExceeded) abandonAttempt(target.id) else onStalled()
         }
         context.engines.stalledAt(target, request.id.value) { report ->
@@ -303,13 +333,23 @@
     /** Returns the prompt tokens plus the smaller of the typical answer and the maximum that the caller allows. */
     private fun requestTokens(): Int {
         val parts = exchange.header(context.names.tokens)?.split(',').orEmpty()
+        val tokens = { index: Int ->
+            parts
+                .getOrNull(index)
+                ?.trim()
+                ?.toIntOrNull()
+                ?.coerceIn(0, MAX_TOKENS)
+        }
         val usualAnswer = model?.typicalAnswerTokens ?: 0
-        val prompt = parts.getOrNull(0)?.trim()?.toIntOrNull() ?: model?.typicalPromptTokens ?: 0
-        val answer = parts.getOrNull(1)?.trim()?.toIntOrNull() ?: usualAnswer
+        val prompt = tokens(0) ?: model?.typicalPromptTokens ?: 0
+        val answer = tokens(1) ?: usualAnswer
         return prompt + minOf(answer, usualAnswer)
     }
 
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
+
+        /** More than any engine has memory for; keeps sums of callers' figures from overflowing. */
+        const val MAX_TOKENS = 10_000_000
     }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -254,11 +254,12 @@
         socket.soTimeout = READ_TIMEOUT_MILLIS
         return RawAnswer(
             buildString {
+                val buffer = ByteArray(READ_BUFFER_BYTES)
                 try {
                     while (true) {
-                        val next = socket.getInputStream().read()
-                        if (next < 0) break
-                        append(next.toChar())
+                        val count = socket.getInputStream().read(buffer)
+                        if (count < 0) break
+                        append(String(buffer, 0, count, Charsets.ISO_8859_1))
                     }
                 } catch (_: java.io.IOException) {
                     // A reset also ends the answer; the bytes before it are kept.
@@ -271,5 +272,6 @@
 
     private companion object {
         const val READ_TIMEOUT_MILLIS = 8_000
+        const val READ_BUFFER_BYTES = 64 * 1024
     }
 }
