Search paths among the endpoints that hold a layer only

Cause: for each request the path search went through all endpoints and all boundaries at each boundary, in every zone, and walked through sequences of objects to see whether a path had an endpoint already. Change: only the boundaries within a holder's range are tried; other zones are searched only if their fastest accelerator could make up for the penalty. The chosen paths are the same. Test: PathFinderTest shows that the endpoints of other zones are not weighed while the own zone has a fast path.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
@@ -59,87 +59,126 @@
     ): LayerPath? {
         val costFactor = { endpoint: EndpointId -> loadFactor(load(endpoint)) * paceFactor(pace(endpoint)) }
         val usable = endpoints.filter { it.layers != null && it.accelerator in model.accelerators && it.id !in avoid }
-        val zonePaths =
-            usable
-                .groupBy { it.zone }
-                .mapNotNull { (other, members) ->
-                    val penalty = if (other == zone) 0.0 else settings.otherZonePenaltyMillis
-                    shortest(model, members, costFactor, mayBeFirst)?.let { it to it.stepMillis + penalty }
-                }
-        return zonePaths.minByOrNull { it.second }?.first ?: shortest(model, usable, costFactor, mayBeFirst)
+        val zones = usable.groupBy { it.zone }
+        val own = zones[zone]?.let { shortest(model, it, costFactor, mayBeFirst) }
+        val other =
+            zones
+                .filter { (other, members) -> other != zone && mayBeCheaper(model, members, own) }
+                .mapNotNull { (_, members) -> shortest(model, members, costFactor, mayBeFirst) }
+                .minByOrNull { it.stepMillis }
+        return when {
+            own == null -> other ?: shortest(model, usable, costFactor, mayBeFirst)
+            other == null || own.stepMillis <= other.stepMillis + settings.otherZonePenaltyMillis -> own
+            else -> other
+        }
     }
 
-    private class Node(
-        val position: Int,
-        val cost: Double,
-        val part: PathPart?,
-        val previous: Node?,
-        val partCount: Int,
-    ) {
-        fun uses(endpoint: EndpointId): Boolean =
-            generateSequence(this) { it.previous }.any {
-                it.part?.endpoint?.id ==
-                    endpoint
-            }
+    /** Whether the fastest accelerator among [members] without load could make up for the penalty of another zone. */
+    private fun mayBeCheaper(
+        model: ModelLayout,
+        members: List<RelayEndpoint>,
+        own: LayerPath?,
+    ): Boolean {
+        if (own == null) return true
+        val leastMillis = members.minOf { layerMillis(model, it) } * model.layers
+        return leastMillis + settings.otherZonePenaltyMillis < own.stepMillis
     }
 
-    /** Dijkstra's algorithm over layer boundaries; edges lead to higher positions, so one pass in order is enough. */
+    /**
+     * Dijkstra's algorithm over layer boundaries; edges lead to higher positions, so one pass in order is enough.
+     *
+     * It runs for each request, so its cost per boundary depends on the endpoints that hold the layer there only.
+     */
     private fun shortest(
         model: ModelLayout,
         endpoints: List<RelayEndpoint>,
         costFactor: (EndpointId) -> Double,
         mayBeFirst: (EndpointId) -> Boolean,
     ): LayerPath? {
-        val factors = endpoints.associate { it.id to costFactor(it.id) }
+        val holders = endpoints.map { Holder(it, layerMillis(model, it) * costFactor(it.id)) }
         val boundaries = boundaries(model, endpoints)
-        val best = HashMap<Int, Node>()
-        best[0] = Node(position = 0, cost = 0.0, part = null, previous = null, partCount = 0)
-        for (position in boundaries) {
-            val node = best[position] ?: continue
+        val best = arrayOfNulls<Node>(boundaries.size)
+        best[0] = Node(position = 0, cost = 0.0, holder = null, previous = null)
+        for (index in 0 until boundaries.lastIndex) {
+            val node = best[index] ?: continue
             if (node.partCount >= settings.maxParts) continue
-            for (endpoint in endpoints) {
-                val held = checkNotNull(endpoint.layers)
-                if (position < held.first || position >= held.end || node.uses(endpoint.id)) continue
-                if (position == 0 && !mayBeFirst(endpoint.id)) continue
-                extend(model, node, endpoint, boundaries, factors.getValue(endpoint.id), best)
+            for (holder in holders) {
+                if (node.position !in holder.layers.first until holder.layers.end || node.uses(holder)) continue
+                if (node.position == 0 && !mayBeFirst(holder.endpoint.id)) continue
+                extend(node, index, holder, boundaries, best)
             }
         }
-        val end = best[model.layers] ?: return null
-        val parts = generateSequence(end) { it.previous }.mapNotNull { it.part }.toList().reversed()
+        val end = best.last() ?: return null
+        val parts = generateSequence(end) { it.previous }.mapNotNull { it.part() }.toList().reversed()
         return LayerPath(parts, end.cost)
     }
 
     private fun extend(
-        model: ModelLayout,
         node: Node,
-        endpoint: RelayEndpoint,
-        boundaries: List<Int>,
-        factor: Double,
-        best: MutableMap<Int, Node>,
+        index: Int,
+        holder: Holder,
+        boundaries: IntArray,
+        best: Array<Node?>,
     ) {
-        val held = checkNotNull(endpoint.layers)
-        val layerMillis = layerMillis(model, endpoint) * factor
-        val hop = hopMillis(node.part?.endpoint, endpoint)
-        for (next in boundaries) {
-            if (next <= node.position || next > held.end) continue
-            val cost = node.cost + hop + (next - node.position) * layerMillis
+        val start = node.cost + hopMillis(node.holder?.endpoint, holder.endpoint)
+        var next = index + 1
+        while (next < boundaries.size && boundaries[next] <= holder.layers.end) {
+            val cost = start + (boundaries[next] - node.position) * holder.layerMillis
             val known = best[next]
-            if (known != null && known.cost <= cost) continue
-            val part = PathPart(endpoint, LayerRange(node.position, next))
-            best[next] = Node(next, cost, part, node, node.partCount + 1)
+            if (known == null || cost < known.cost) best[next] = Node(boundaries[next], cost, holder, node)
+            next++
+        }
+    }
+
+    /** An endpoint and the cost of one layer on it, in milliseconds. */
+    private class Holder(
+        val endpoint: RelayEndpoint,
+        val layerMillis: Double,
+    ) {
+        val layers = checkNotNull(endpoint.layers)
+    }
+
+    /** The cheapest way to run the layers before [position]; its last part runs on [holder]. */
+    private class Node(
+        val position: Int,
+        val cost: Double,
+        val holder: Holder?,
+        val previous: Node?,
+    ) {
+        val partCount: Int = if (previous == null) 0 else previous.partCount + 1
+
+        fun uses(other: Holder): Boolean {
+            var node: Node? = this
+            while (node != null) {
+                if (node.holder === other) return true
+                node = node.previous
+            }
+            return false
         }
+
+        fun part(): PathPart? =
+            if (holder == null || previous == null) {
+                null
+            } else {
+                PathPart(holder.endpoint, LayerRange(previous.position, position))
+            }
     }
 
+    /** Returns the layers at which a range of an endpoint begins or ends, in order, with 0 and the number of layers. */
     private fun boundaries(
         model: ModelLayout,
         endpoints: List<RelayEndpoint>,
-    ): List<Int> =
-        endpoints
-            .flatMap { endpoint -> endpoint.layers?.let { listOf(it.first, it.end) }.orEmpty() }
-            .plus(listOf(0, model.layers))
-            .filter { it <= model.layers }
-            .distinct()
-            .sorted()
+    ): IntArray {
+        val isBoundary = BooleanArray(model.layers + 1)
+        isBoundary[0] = true
+        isBoundary[model.layers] = true
+        for (endpoint in endpoints) {
+            val held = checkNotNull(endpoint.layers)
+            if (held.first <= model.layers) isBoundary[held.first] = true
+            if (held.end <= model.layers) isBoundary[held.end] = true
+        }
+        return (0..model.layers).filter { isBoundary[it] }.toIntArray()
+    }
 
     private fun layerMillis(
         model: ModelLayout,
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/PathFinderTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/PathFinderTest.kt
@@ -78,6 +78,15 @@
         expectThat(path).isNotNull().get { first.zone != ZoneId("a") }.isTrue()
     }
 
+    @Test
+    fun `does not weigh the endpoints of other zones while the own zone has a fast path`() {
+        val weighed = HashSet<EndpointId>()
+        val placed = ModelFleet.placed()
+        find(placed, load = { id -> weighed.add(id).let { 0.0 } })
+
+        expectThat(weighed).isEqualTo(placed.filter { it.zone == ZoneId("a") }.mapTo(HashSet()) { it.id })
+    }
+
     @Test
     fun `guards against load that stays after its request has ended`() {
         val load = PathLoad()
