Order all repairs of a zone at once

Cause: a zone with layers that nobody holds got one move at a time, and none while any of its endpoints loaded layers. After the loss of eight endpoints at once, or while a release replaces endpoints for seconds, repairs took several rounds of loading and registering, in which the zone could not serve. Ruled out as a reason to wait: ranges that are being loaded, since they count as covered already. Change: moves are ordered until every layer is covered or no endpoint can be spared. Tests: LayerPlacerTest, two cases that failed before.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -36,7 +36,9 @@
  * when it is lost. If a layer is not covered and no endpoint is empty, the smallest endpoint whose layers all have
  * another holder gets a new range: it loads fastest, and the large and fast endpoints stay in place for the return of
  * the lost one. The zone cannot serve alone until the range is loaded, so this order does not wait for requests that
- * pass through the endpoint, which may take as long as the slowest engine of their path needs.
+ * pass through the endpoint, which may take as long as the slowest engine of their path needs. After the loss of several
+ * endpoints at once, or while others are replaced, all repairs are ordered together; ranges that are being loaded count
+ * as covered.
  */
 public class LayerPlacer(
     private val settings: PlacementSettings = PlacementSettings(),
@@ -78,7 +80,10 @@
                     orders += LayerOrder(endpoint, range)
                 }
             }
-        if (coverage.hasUncoveredLayer) repairOrder(endpoints, sizes, coverage, planned, orders)?.let(orders::add)
+        while (coverage.hasUncoveredLayer) {
+            val moving = orders.mapTo(HashSet(planned.keys)) { it.endpoint.id }
+            orders += repairOrder(endpoints.filter { it.id !in moving }, sizes, coverage) ?: break
+        }
         return orders
     }
 
@@ -86,18 +91,16 @@
         endpoints: List<RelayEndpoint>,
         sizes: Map<EndpointId, Int>,
         coverage: Coverage,
-        planned: Map<EndpointId, LayerRange>,
-        placementOrders: List<LayerOrder>,
     ): LayerOrder? {
-        // Layers that are being loaded in this zone may cover the missing ones.
-        if (placementOrders.isNotEmpty() || endpoints.any { it.id in planned }) return null
         val spare =
             endpoints
                 .filter { !it.isLeaving }
                 .filter { endpoint -> endpoint.layers?.let(coverage::isCoveredWithout) ?: false }
                 .minWithOrNull(compareBy({ checkNotNull(it.layers).size }, { it.id })) ?: return null
         coverage.remove(checkNotNull(spare.layers))
-        return LayerOrder(spare, coverage.bestRange(sizes.getValue(spare.id)), cutsOff = true)
+        val range = coverage.bestRange(sizes.getValue(spare.id))
+        coverage.add(range)
+        return LayerOrder(spare, range, cutsOff = true)
     }
 
     private fun assignedLayers(
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
@@ -77,6 +77,36 @@
         }
     }
 
+    @Test
+    fun `orders all repairs at once after several endpoints are lost together`() {
+        val placed = ModelFleet.placed()
+        val own = placed.filter { it.zone == ZoneId("a") }
+        for ((index, first) in own.withIndex()) {
+            for (second in own.drop(index + 1)) {
+                val left = placed.filter { it.id != first.id && it.id != second.id }
+                var repaired = left
+                repeat(6) { repaired = ModelFleet.carryOut(repaired, orders(repaired)) }
+                val atOnce = ModelFleet.carryOut(left, orders(left))
+
+                expectThat(zonesWithAllLayers(atOnce)).isEqualTo(zonesWithAllLayers(repaired))
+            }
+        }
+    }
+
+    @Test
+    fun `orders a repair while another endpoint of the zone loads layers that do not help`() {
+        val placed = ModelFleet.placed()
+        val own = placed.filter { it.zone == ZoneId("a") }
+        val loading = own.first { it.accelerator == "large" }
+        val planned = mapOf(loading.id to checkNotNull(loading.layers))
+        for (lost in own - loading) {
+            val left = placed - lost
+            val orders = placer.orders(model, left, planned)
+
+            expectThat(orders).isEqualTo(orders(left))
+        }
+    }
+
     @Test
     fun `guards against a repair that waits for slow requests, and against aborting requests without need`() {
         val placed = ModelFleet.placed()
