Share the initial limit of an endpoint among the instances of its zone

Cause: each instance began with 24 streams at each first endpoint and never went below 2. Change: instances begin with their share of 72 streams. A limit below 1 is the part of the time in which one stream may be in flight, so that many instances can share a path with room for fewer streams than instances. Test: ConcurrencyLimitsTest replays both loads with 19 instances; the first failed before.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
@@ -8,10 +8,10 @@
 
 /** The settings of [ConcurrencyLimits]. */
 public data class ConcurrencySettings(
-    /** The limit of an endpoint without measurements; one path serves about 50 streams from all instances together. */
-    public val initialLimit: Double = 24.0,
+    /** The limit of an endpoint without measurements, over all instances that use it; each one uses its share. */
+    public val initialSharedLimit: Double = 72.0,
     /** The lower bound of a limit; it lets an overloaded endpoint receive enough streams to be measured. */
-    public val minLimit: Double = 2.0,
+    public val minLimit: Double = 0.1,
     /** The upper bound of a limit. */
     public val maxLimit: Double = 400.0,
     /** The limit is decreased when a first event takes longer than this fraction of the objective. */
@@ -26,6 +26,8 @@
     public val decreaseInterval: Duration = 300.milliseconds,
     /** The age up to which a decrease is undone when another endpoint turns out to be the cause of the delay. */
     public val maxRestoreAge: Duration = 3.seconds,
+    /** The longest time without streams at an endpoint that was overloaded; it may have recovered by then. */
+    public val maxPause: Duration = 2.seconds,
 )
 
 /**
@@ -33,35 +35,73 @@
  *
  * An overloaded path serves all of its streams late. The limit follows the time to the first event by additive increase
  * and multiplicative decrease: it grows with each stream that begins in time and shrinks by a factor when streams begin
- * late. In this way each instance converges to its share of an endpoint without communicating with the others.
+ * late. In this way each instance converges to its share of an endpoint without communicating with the others. Until an
+ * endpoint is measured, each instance uses its part of a shared limit: with many instances, each sees too few streams to
+ * learn in time, and the sum of limits that are meant for a few instances would overload every path.
+ *
+ * A limit below 1 is the fraction of the time in which a stream may be in flight: the next one may start once the
+ * endpoint has been left alone for long enough. Without it, many instances could not share a path that has room for fewer
+ * streams than there are instances.
  */
 public class ConcurrencyLimits(
     private val settings: ConcurrencySettings = ConcurrencySettings(),
 ) {
-    private class Limit(
-        var value: Double,
-    ) {
+    private inner class Limit {
+        var measured: Double? = null
+        val value: Double get() = measured ?: initialLimit
         var inFlight = 0
         var decreasedAt: Timestamp? = null
+        private var startedAt = Timestamp.ZERO
+        private var pausedUntil = Timestamp.ZERO
+
+        fun canStart(now: Timestamp): Boolean =
+            if (value >= 1) inFlight < value else inFlight == 0 && now >= pausedUntil
+
+        fun onStarted(now: Timestamp) {
+            if (inFlight++ == 0) startedAt = now
+        }
+
+        fun onEnded(now: Timestamp) {
+            inFlight = maxOf(0, inFlight - 1)
+            if (inFlight == 0 &&
+                value < 1
+            ) {
+                pausedUntil = now + minOf((now - startedAt) * (1 / value - 1), settings.maxPause)
+            }
+        }
 
         /** The value before the first of a series of decreases. */
-        var restoreValue = value
+        var restoreValue = 0.0
     }
 
     private val limits = HashMap<EndpointId, Limit>()
 
+    /** The number of instances that start streams at the same endpoints, at least 1. */
+    public var instances: Int = ASSUMED_INSTANCES
+        set(value) {
+            field = value.coerceAtLeast(1)
+        }
+
+    private val initialLimit: Double get() = maxOf(settings.minLimit, settings.initialSharedLimit / instances)
+
     /** Returns whether another stream may start at [endpoint]. */
-    public fun canStart(endpoint: EndpointId): Boolean = limits[endpoint]?.let { it.inFlight < it.value } ?: true
+    public fun canStart(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ): Boolean = limits[endpoint]?.canStart(now) ?: true
 
     /** Records that a stream was sent to [endpoint]. */
-    public fun onStreamStarted(endpoint: EndpointId) {
-        limit(endpoint).inFlight++
-    }
+    public fun onStreamStarted(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ): Unit = limit(endpoint).onStarted(now)
 
     /** Records that a stream at [endpoint] has ended. */
-    public fun onStreamEnded(endpoint: EndpointId) {
-        val limit = limits[endpoint] ?: return
-        limit.inFlight = maxOf(0, limit.inFlight - 1)
+    public fun onStreamEnded(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ) {
+        limits[endpoint]?.onEnded(now)
     }
 
     /** Returns whether a first event after [latency] is late with respect to [objective]. */
@@ -77,7 +117,7 @@
     ) {
         val limit = limits[endpoint] ?: return
         val lastDecrease = limit.decreasedAt ?: return
-        if (now - lastDecrease < settings.maxRestoreAge) limit.value = maxOf(limit.value, limit.restoreValue)
+        if (now - lastDecrease < settings.maxRestoreAge) limit.measured = maxOf(limit.value, limit.restoreValue)
         limit.decreasedAt = null
     }
 
@@ -92,7 +132,11 @@
         val objectiveFraction = latency / objective
         if (objectiveFraction < settings.increaseBelow) {
             // In-time streams justify a higher limit only if at least half of the current one is in use.
-            if (limit.inFlight * 2 >= limit.value) limit.value = minOf(settings.maxLimit, limit.value + settings.step)
+            if (limit.inFlight * 2 >=
+                limit.value
+            ) {
+                limit.measured = minOf(settings.maxLimit, limit.value + settings.step)
+            }
         } else if (isLate(latency, objective)) {
             decrease(now, limit)
         }
@@ -113,8 +157,13 @@
         limit.decreasedAt = now
         // Streams in flight beyond the limit started before it was decreased; the base is the used part of the limit.
         val inUse = minOf(limit.value, limit.inFlight.toDouble())
-        limit.value = maxOf(settings.minLimit, inUse * settings.decreaseFactor)
+        limit.measured = maxOf(settings.minLimit, inUse * settings.decreaseFactor)
     }
 
-    private fun limit(endpoint: EndpointId): Limit = limits.getOrPut(endpoint) { Limit(settings.initialLimit) }
+    private fun limit(endpoint: EndpointId): Limit = limits.getOrPut(endpoint) { Limit() }
+
+    private companion object {
+        /** Assumed until the instances are counted. */
+        const val ASSUMED_INSTANCES = 3
+    }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/ConcurrencyLimitsTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/ConcurrencyLimitsTest.kt
@@ -33,12 +33,13 @@
         }
     }
 
-    /** Runs streams of 3 instances through one path; returns the fractions that began in time and that were refused. */
+    /** Runs streams of all instances through one path; returns the fractions that began in time and were refused. */
     private fun replay(
         perSecond: Int,
         limited: Boolean,
+        instanceCount: Int = 3,
     ): Pair<Double, Double> {
-        val instances = List(3) { ConcurrencyLimits() }
+        val instances = List(instanceCount) { ConcurrencyLimits().apply { this.instances = instanceCount } }
         val load = LoadedPath(readTime = 40.milliseconds)
         val ends = ArrayList<Triple<Timestamp, ConcurrencyLimits, Duration>>()
         var inTime = 0
@@ -48,16 +49,16 @@
             load.now = Timestamp.ZERO + 1.seconds * number / perSecond
             ends.filter { it.first <= load.now }.forEach { (at, limits, latency) ->
                 limits.onFirstEvent(at, path, latency, objective)
-                limits.onStreamEnded(path)
+                limits.onStreamEnded(at, path)
             }
             ends.removeIf { it.first <= load.now }
             val limits = instances[number % instances.size]
-            if (limited && !limits.canStart(path)) {
+            if (limited && !limits.canStart(load.now, path)) {
                 refused++
                 return@repeat
             }
             val latency = load.begin()
-            limits.onStreamStarted(path)
+            limits.onStreamStarted(load.now, path)
             ends += Triple(load.now + latency, limits, latency)
             if (latency <= objective) inTime++
         }
@@ -74,6 +75,22 @@
         expectThat(inTime).isGreaterThan(2 * unlimited)
     }
 
+    @Test
+    fun `serves what a path can serve in time when many instances share it`() {
+        val capacity = 25.0 / 40
+        val (inTime, _) = replay(perSecond = 40, limited = true, instanceCount = 19)
+
+        expectThat(inTime).isGreaterThanOrEqualTo(0.8 * capacity)
+    }
+
+    @Test
+    fun `does not refuse streams of many instances that a path can serve in time`() {
+        val (inTime, refused) = replay(perSecond = 20, limited = true, instanceCount = 19)
+
+        expectThat(refused == 0.0).isTrue()
+        expectThat(inTime == 1.0).isTrue()
+    }
+
     @Test
     fun `guards against refusing streams that a path can serve in time`() {
         val (inTime, refused) = replay(perSecond = 20, limited = true)
@@ -85,23 +102,25 @@
     @Test
     fun `guards against an endpoint that stays closed after its streams have ended`() {
         val limits = ConcurrencyLimits()
-        repeat(40) { limits.onStreamStarted(path) }
+        repeat(40) { limits.onStreamStarted(Timestamp.ZERO, path) }
+        val end = Timestamp.ZERO + 40.seconds
         repeat(40) { limits.onFirstEvent(Timestamp.ZERO + 1.seconds * it, path, 2.seconds, objective) }
-        expectThat(limits.canStart(path)).isFalse()
-        repeat(40) { limits.onStreamEnded(path) }
+        expectThat(limits.canStart(end, path)).isFalse()
+        repeat(40) { limits.onStreamEnded(end, path) }
 
-        expectThat(limits.canStart(path)).isTrue()
+        expectThat(limits.canStart(end + 3.seconds, path)).isTrue()
     }
 
     @Test
     fun `guards against a limit that stays low after another endpoint was found to be the cause`() {
         val limits = ConcurrencyLimits()
-        repeat(20) { limits.onStreamStarted(path) }
+        repeat(20) { limits.onStreamStarted(Timestamp.ZERO, path) }
         (1..5).forEach { limits.onFirstEvent(Timestamp.ZERO + it.seconds / 2, path, 2.seconds, objective) }
-        expectThat(limits.canStart(path)).isFalse()
+        val now = Timestamp.ZERO + 3.seconds
+        expectThat(limits.canStart(now, path)).isFalse()
 
-        limits.onDelayedElsewhere(Timestamp.ZERO + 3.seconds, path)
+        limits.onDelayedElsewhere(now, path)
 
-        expectThat(limits.canStart(path)).isTrue()
+        expectThat(limits.canStart(now, path)).isTrue()
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -120,6 +120,7 @@
     ) {
         context.budgets.instances = all
         context.load.instances = inZone
+        context.concurrency.instances = inZone
         placement?.onInstanceCountChanged(all)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -56,7 +56,7 @@
         first = target
         startedAt = monotonicNow()
         awaitsFirstEvent = true
-        context.concurrency.onStreamStarted(target.id)
+        context.concurrency.onStreamStarted(startedAt, target.id)
         head = null
         framer.reset()
         if (answerBegun) position.onResumed()
@@ -90,7 +90,7 @@
         val endpoints = context.directory.usable(now, request.service.id)
         if (model == null) return context.selector.choose(now, endpoints.filter { mayReceive(it.id) }, avoid)
         val isOpen = { endpoint: EndpointId ->
-            mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(endpoint))
+            mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(now, endpoint))
         }
         // Only a begun answer is retried at endpoints that failed before; otherwise a refusal tells the caller more.
         path =
@@ -112,7 +112,7 @@
         path?.let { context.load.onRequestEnded(it, tokens) }
         path = null
         failureBody.clear()
-        first?.let { context.concurrency.onStreamEnded(it.id) }
+        first?.let { context.concurrency.onStreamEnded(monotonicNow(), it.id) }
         context.streams -= this
         first = null
     }
