Tell the instances of a zone which engines refuse

Cause: each instance learns from its own requests only that an engine does not serve its part of a path. Ruled out: sharing failed connections, since an instance whose own links fail would report sound engines. Change: when an engine reports that another one refuses, the instance sends a datagram about it to the others of its zone, once in 100 ms for each engine; they treat it as a refusal of their own.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -146,6 +146,19 @@
         entry.refusalBackoff.start(now)
     }
 
+    /**
+     * Starts a backoff because another instance was told that [endpoint] refuses.
+     *
+     * It is ignored when it is about another process or when a backoff is active, which already covers it.
+     */
+    public fun onSharedRefusal(
+        now: Timestamp,
+        refusal: SharedRefusal,
+    ) {
+        val entry = entries[refusal.endpoint] ?: return
+        if (entry.endpoint.startedAt == refusal.startedAt) onRefusal(now, refusal.endpoint)
+    }
+
     /** Ends the failure backoff, and the refusal backoff if the request was sent ([sentAt]) after the refusal. */
     public fun onSuccess(
         endpoint: EndpointId,
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -9,6 +9,8 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -62,6 +64,30 @@
         expectThat(usable()).containsExactly("new")
     }
 
+    @Test
+    fun `avoids an endpoint that another instance reports, unless the report is about an earlier process`() {
+        val a = EndpointId("a")
+        directory.put(endpoint("a", startedAt = 2))
+        directory.onSharedRefusal(start, SharedRefusal(a, startedAt = 1))
+        expectThat(usable()).containsExactly("a")
+
+        directory.onSharedRefusal(start, SharedRefusal(a, startedAt = 2))
+        expectThat(usable()).isEmpty()
+        expectThat(usable(start + 100.milliseconds)).containsExactly("a")
+    }
+
+    @Test
+    fun `shares what an engine reports about another one, at most once in each interval`() {
+        val sharing = RefusalSharing(minInterval = 100.milliseconds)
+        val first = endpoint("a")
+        val faulty = endpoint("b", startedAt = 5)
+
+        expectThat(sharing.onRefusal(start, first, first)).isNull()
+        expectThat(sharing.onRefusal(start, first, faulty)).isEqualTo(SharedRefusal(faulty.id, 5))
+        expectThat(sharing.onRefusal(start + 99.milliseconds, first, faulty)).isNull()
+        expectThat(sharing.onRefusal(start + 100.milliseconds, first, faulty)).isNotNull()
+    }
+
     @Test
     fun `guards against sending to an endpoint that refuses while it finishes earlier requests`() {
         val a = EndpointId("a")
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -7,6 +7,7 @@
 import oriolespindle.core.lifecycle.ShutdownAction
 import oriolespindle.core.relay.RelayConfiguration
 import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.router.http.Address
 import oriolespindle.router.http.ConnectionObserver
 import oriolespindle.router.http.HttpClient
 import oriolespindle.router.http.HttpClientSettings
@@ -46,6 +47,7 @@
     private val callers =
         HttpServer(group, serverSettings(null), observer = CallerObserver(), handler = frontEnd::onRequest)
     private val readiness = HttpServer(group) { frontEnd.readiness(it, isReady) }
+    private val refusals = RefusalChannel(group) { context.directory.onSharedRefusal(monotonicNow(), it) }
     private var placement: PlacementComponent? = null
 
     private val isReady: Boolean
@@ -65,6 +67,8 @@
         callers.bind(settings.callers)
         readiness.bind(settings.readiness)
         settings.metrics?.let { readiness.bind(it) }
+        settings.refusals?.let(refusals::bind)
+        context.shareRefusal = refusals::send
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
         component.start(rank = Math.floorMod(settings.instance.value.hashCode(), LEASE_RANKS))
@@ -104,6 +108,7 @@
         val registered = endpoints.mapTo(HashSet()) { it.id }
         context.selector.retain(registered)
         context.concurrency.retain(registered)
+        context.refusalSharing.retain(registered)
         context.paces.retain(registered)
     }
 
@@ -124,6 +129,11 @@
         placement?.onInstanceCountChanged(all)
     }
 
+    /** Replaces the addresses at which the other instances of this zone receive shared refusals. */
+    public fun setRefusalPeers(peers: List<Address>) {
+        refusals.peers = peers
+    }
+
     /** Called when the store stops answering this instance. */
     public fun onStoreLost() {
         EventLog.warn("store unreachable")
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -9,7 +9,9 @@
 import oriolespindle.core.relay.EndpointDirectory
 import oriolespindle.core.relay.EndpointPaces
 import oriolespindle.core.relay.EndpointSelector
+import oriolespindle.core.relay.RefusalSharing
 import oriolespindle.core.relay.ServiceBudgets
+import oriolespindle.core.relay.SharedRefusal
 import oriolespindle.router.http.HttpClient
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
@@ -34,6 +36,10 @@
     val load = PathLoad()
     val paces = EndpointPaces()
     val concurrency = ConcurrencyLimits()
+    val refusalSharing = RefusalSharing()
+
+    /** Sends a refusal to the other instances of the zone. */
+    var shareRefusal: (SharedRefusal) -> Unit = {}
 
     /** The streams in progress. */
     val streams = LinkedHashSet<StreamSession>()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -21,6 +21,8 @@
     public val readiness: Address,
     /** A further address that serves metrics; with null only [readiness] serves them. */
     public val metrics: Address?,
+    /** The address where other instances of the zone report refusing endpoints; null if they do not. */
+    public val refusals: Address?,
     public val headerNames: RelayHeaderNames,
     public val budgets: ServiceBudgetSettings,
     /** Maximum number of open connections of callers. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -258,7 +258,9 @@
         first: RelayEndpoint,
     ) {
         val faulty = head.headers.get(context.names.faultyEndpoint)?.let(context.directory::findByAddress) ?: first
-        context.directory.onRefusal(monotonicNow(), faulty.id)
+        val now = monotonicNow()
+        context.directory.onRefusal(now, faulty.id)
+        context.refusalSharing.onRefusal(now, first, faulty)?.let(context.shareRefusal)
         onAttemptFailed(AttemptEnd.NotRun, "endpoint_refused", faulty.id)
     }
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -33,6 +33,9 @@
 internal class RelayFixture : AutoCloseable {
     private val callers = freeAddress()
     val readiness: Address = freeAddress()
+
+    /** The UDP address where the relay receives shared refusals. */
+    val refusals: Address = freeAddress()
     val stopped = CountDownLatch(1)
     private val relay = Relay(settings()) { stopped.countDown() }
 
@@ -62,6 +65,8 @@
 
     fun register(vararg endpoints: RelayEndpoint) = onLoop { relay.replaceEndpoints(endpoints.toList()) }
 
+    fun setRefusalPeers(vararg peers: Address) = onLoop { relay.setRefusalPeers(peers.toList()) }
+
     fun shutDown() = onLoop { relay.shutDown() }
 
     fun connect(): RawCaller = RawCaller(Socket(callers.host, callers.port))
@@ -100,6 +105,7 @@
             callers = callers,
             readiness = readiness,
             metrics = null,
+            refusals = refusals,
             headerNames = names,
             budgets = ServiceBudgetSettings(ratio = 0.2, burst = 1_000),
             maxConnections = 100,
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
@@ -3,12 +3,16 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import oriolespindle.core.relay.RouteKind
+import oriolespindle.router.http.Address
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import java.net.DatagramPacket
+import java.net.DatagramSocket
+import java.net.InetAddress
 
 class RelayStreamTest {
     private val relay = RelayFixture()
@@ -228,6 +232,42 @@
         expectThat(full.requests).hasSize(1)
     }
 
+    @Test
+    fun `tells the other instances which engine another engine reports`() {
+        val lost = endpoint("e2") { request, _ -> completeStream(request, 1..2) }
+        val first =
+            endpoint("e1") { request, _ ->
+                write(Scripts.refused(request).replace("Not-Run", "Faulty: ${lost.address}\r\nNot-Run"))
+            }
+        serve(first, lost)
+        DatagramSocket(0, InetAddress.getLoopbackAddress()).use { peer ->
+            peer.soTimeout = DATAGRAM_TIMEOUT_MILLIS
+            relay.setRefusalPeers(Address("127.0.0.1", peer.localPort))
+            relay.call()
+            val packet = DatagramPacket(ByteArray(MAX_DATAGRAM_BYTES), MAX_DATAGRAM_BYTES)
+            peer.receive(packet)
+
+            expectThat(String(packet.data, 0, packet.length)).isEqualTo("""{"endpoint":"e2","startedAt":1}""")
+        }
+    }
+
+    @Test
+    fun `avoids an engine that another instance reports and ignores datagrams that it cannot decode`() {
+        val reported = endpoint("e1") { request, _ -> completeStream(request, 1..2) }
+        val other = endpoint("e2") { request, _ -> completeStream(request, 1..2) }
+        serve(reported, other)
+        DatagramSocket().use { peer ->
+            val target = relay.refusals.toSocketAddress()
+            for (text in listOf("no JSON", """{"endpoint":7}""", """{"endpoint":"e1","startedAt":1}""")) {
+                peer.send(DatagramPacket(text.toByteArray(), text.length, target))
+            }
+        }
+        Thread.sleep(DATAGRAM_DELAY_MILLIS)
+
+        expectThat(relay.call().isComplete).isTrue()
+        expectThat(reported.requests).hasSize(0)
+    }
+
     @Test
     fun `forwards the caller's Last-Event-ID`() {
         val engine = endpoint("e1") { request, _ -> completeStream(request, 8..9) }
@@ -241,6 +281,12 @@
     }
 
     private companion object {
+        const val DATAGRAM_TIMEOUT_MILLIS = 5_000
+        const val MAX_DATAGRAM_BYTES = 512
+
+        /** Shorter than the first backoff after a refusal. */
+        const val DATAGRAM_DELAY_MILLIS = 50L
+
         /** Long enough that the first event is late by the route's objective. */
         const val ANSWER_DELAY_MILLIS = 300L
     }
