--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AttemptPolicyTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AttemptPolicyTest.kt
@@ -117,6 +117,56 @@
         expectThat(decide(route, AttemptEnd.Unknown)).isEqualTo(AttemptDecision.Retry)
     }
 
+    @Test
+    fun `keeps a slow attempt that nothing may replace`() {
+        val route = route(RouteKind.STREAM, isResumable = true)
+        val expiry = start + 1.seconds
+        val mayReplace = { policy: AttemptPolicy, route: Route, history: AttemptHistory ->
+            policy.mayReplace(start, route, service, history, expiry)
+        }
+        expectThat(mayReplace(policy, route, AttemptHistory())).isTrue()
+
+        val withoutBudget = AttemptPolicy(budgets(ServiceBudgetSettings(ratio = 0.0, burst = 0), instanceCount = 1))
+        expectThat(mayReplace(withoutBudget, route, AttemptHistory())).isFalse()
+        expectThat(mayReplace(policy, route(RouteKind.STREAM), AttemptHistory())).isFalse()
+
+        val hasRun = AttemptHistory().apply { onAttemptEnded(AttemptEnd.Unknown, EndpointId("e1")) }
+        expectThat(mayReplace(policy, route, hasRun)).isFalse()
+    }
+
+    @Test
+    fun `waits with a begun answer that is refused, and spends one retry for each attempt that is sent`() {
+        val settings = ServiceBudgetSettings(ratio = 0.0, burst = 2)
+        val policy = AttemptPolicy(budgets(settings, instanceCount = 1))
+        val route = route(RouteKind.STREAM, isResumable = true)
+        val expiry = start + 1.seconds
+        val history = AttemptHistory()
+        val afterRefusal = {
+            policy.decide(
+                start,
+                route,
+                service,
+                history,
+                AttemptEnd.NotRun,
+                expiry,
+                canResend = true,
+                answerBegun = true,
+            )
+        }
+        history.onAttemptEnded(AttemptEnd.Unknown, EndpointId("e1"))
+        expectThat(policy.decide(start, route, service, history, AttemptEnd.Unknown, expiry))
+            .isEqualTo(AttemptDecision.Retry)
+        history.onAttemptEnded(AttemptEnd.NotRun, EndpointId("e2"))
+
+        expectThat(afterRefusal()).isEqualTo(AttemptDecision.RetryLater(100.milliseconds))
+        // 80% of a burst of 2 is one retry, which is spent.
+        expectThat(policy.decideResumption(start, service, history, expiry))
+            .isEqualTo(AttemptDecision.RetryLater(200.milliseconds))
+        expectThat(policy.decideResumption(start + 11.seconds, service, history, expiry + 11.seconds))
+            .isEqualTo(AttemptDecision.Retry)
+        expectThat(policy.decideResumption(expiry, service, history, expiry)).isEqualTo(AttemptDecision.Fail)
+    }
+
     @Test
     fun `guards against instances that together retry more than the shared budget`() {
         val settings = ServiceBudgetSettings(ratio = 0.2, burst = 100, window = 10.seconds)
