--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -36,9 +36,9 @@
  * when it is lost. If a layer is not covered and no endpoint is empty, the smallest endpoint whose layers all have
  * another holder gets a new range: it loads fastest, and the large and fast endpoints stay in place for the return of
  * the lost one. The zone cannot serve alone until the range is loaded, so this order does not wait for requests that
- * pass through the endpoint, which may take as long as the slowest engine of their path needs. After the loss of several
- * endpoints at once, or while others are replaced, all repairs are ordered together; ranges that are being loaded count
- * as covered.
+ * pass through the endpoint, which may take as long as the slowest engine of their path needs. After the loss of
+ * several endpoints at once, or while others are replaced, all repairs are ordered together; ranges that are being
+ * loaded count as covered.
  */
 public class LayerPlacer(
     private val settings: PlacementSettings = PlacementSettings(),
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AttemptPolicy.kt
@@ -120,9 +120,9 @@
  * budget once something has been sent before; one that could not be sent is used for the next attempt. A request is
  * refused as not run only if no attempt may have run.
  *
- * An answer that has begun cannot be refused any more. While endpoints refuse to resume it, or none can be reached, it is
- * retried after delays until the deadline or until the caller leaves: engines that lose a neighbor refuse for moments,
- * in which all streams of a path would otherwise be cut off.
+ * An answer that has begun cannot be refused any more. While endpoints refuse to resume it, or none can be reached, it
+ * is retried after delays until the deadline or until the caller leaves: engines that lose a neighbor refuse for
+ * moments, in which all streams of a path would otherwise be cut off.
  */
 public class AttemptPolicy(
     private val budget: ServiceBudgets,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ConcurrencyLimits.kt
@@ -36,12 +36,12 @@
  * An overloaded path serves all of its streams late. The limit follows the time to the first event by additive increase
  * and multiplicative decrease: it grows with each stream that begins in time and shrinks by a factor when streams begin
  * late. In this way each instance converges to its share of an endpoint without communicating with the others. Until an
- * endpoint is measured, each instance uses its part of a shared limit: with many instances, each sees too few streams to
- * learn in time, and the sum of limits that are meant for a few instances would overload every path.
+ * endpoint is measured, each instance uses its part of a shared limit: with many instances, each sees too few streams
+ * to learn in time, and the sum of limits that are meant for a few instances would overload every path.
  *
  * A limit below 1 is the fraction of the time in which a stream may be in flight: the next one may start once the
- * endpoint has been left alone for long enough. Without it, many instances could not share a path that has room for fewer
- * streams than there are instances.
+ * endpoint has been left alone for long enough. Without it, many instances could not share a path that has room for
+ * fewer streams than there are instances.
  */
 public class ConcurrencyLimits(
     private val settings: ConcurrencySettings = ConcurrencySettings(),
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -30,9 +30,9 @@
  * An endpoint is dropped at once when its registration is removed while the store answers. A registration that is
  * missing after a store outage may only have lapsed, so its endpoint stays in use until
  * [DirectorySettings.renewalTimeout] after the store's return. Of several registrations at one address only the last
- * started process can answer, so the others are not used even if they are still registered. Failures and refusals put an endpoint into an
- * exponential backoff. Progress of a request that was sent before a refusal does not end the refusal's backoff, since
- * an endpoint that leaves finishes its earlier requests, too.
+ * started process can answer, so the others are not used even if they are still registered. Failures and refusals put
+ * an endpoint into an exponential backoff. Progress of a request that was sent before a refusal does not end the
+ * refusal's backoff, since an endpoint that leaves finishes its earlier requests, too.
  */
 public class EndpointDirectory(
     private val settings: DirectorySettings = DirectorySettings(),
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -68,7 +68,7 @@
 
     protected fun isAnswer(answerId: String?): Boolean = answerId == null || answerId == request.id.value
 
-    /** Whether [headers] are of an endpoint's own answer to this request, whose body arrives as the endpoint sent it. */
+    /** Whether [headers] are of an endpoint's own answer to this request, with a body as the endpoint sent it. */
     protected fun isEndpointAnswer(headers: HttpHeaders): Boolean =
         headers.contains(context.names.signature) && headers.contains(context.names.requestId) &&
             !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
