Hold requests for a moment while a started instance has no configuration yet

Ruled out: listening later, since a caller whose connection is reset has used up an attempt as well. Change: such requests wait for the configuration and the endpoints, for 500 ms at most; the wait counts against their time. Test: RelayCallTest; the request was refused before.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -51,7 +51,7 @@
     private var placement: PlacementComponent? = null
 
     private val isReady: Boolean
-        get() = shutdown.isReady && context.configuration.current != null && context.directory.isInitialized
+        get() = shutdown.isReady && context.isInitialized
 
     /** Whether this instance holds the placement lease and may order engines to load layers. */
     public val holdsPlacementLease: Boolean get() = placement?.holdsLease ?: false
@@ -100,6 +100,7 @@
         if (!context.configuration.offer(configuration)) return
         callers.settings = serverSettings(configuration)
         EventLog.info("configuration in force", "version" to configuration.version)
+        frontEnd.onStateChanged()
     }
 
     /** Replaces all registered endpoints with [endpoints]. */
@@ -109,6 +110,7 @@
         context.selector.retain(registered)
         context.concurrency.retain(registered)
         context.refusalSharing.retain(registered)
+        frontEnd.onStateChanged()
         context.paces.retain(registered)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -41,6 +41,9 @@
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
 
+    /** Whether both the configuration and the endpoints have been received. */
+    val isInitialized: Boolean get() = configuration.current != null && directory.isInitialized
+
     /** The streams in progress. */
     val streams = LinkedHashSet<StreamSession>()
     lateinit var engines: EngineCalls
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -6,6 +6,7 @@
 import oriolespindle.core.relay.Route
 import oriolespindle.core.relay.RouteKind
 import oriolespindle.core.relay.RouteTable
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.HttpAnswer
 import oriolespindle.router.http.ServerExchange
 import oriolespindle.router.logging.EventLog
@@ -16,14 +17,28 @@
 internal class RelayFrontEnd(
     private val context: RelayContext,
 ) {
+    private val startup = StartupQueue(context.timers, context.times.maxStartupWait, ::refuseAtStart, ::serve)
+
     /** Handles a complete request of a caller. */
     fun onRequest(exchange: ServerExchange) {
-        val configuration = context.configuration.current
-        if (configuration == null) {
-            context.metrics.onRefused("configuration_missing")
-            exchange.respond(RelayAnswers.refusal("configuration_missing", context.times.retryAfterStart))
-            return
-        }
+        if (context.isInitialized) serve(exchange, arrivedAt = monotonicNow()) else startup.hold(exchange)
+    }
+
+    /** Serves the requests that have waited for the configuration and the endpoints, once both are there. */
+    fun onStateChanged() {
+        if (context.isInitialized) startup.release()
+    }
+
+    private fun refuseAtStart(exchange: ServerExchange) {
+        context.metrics.onRefused("configuration_missing")
+        exchange.respond(RelayAnswers.refusal("configuration_missing", context.times.retryAfterStart))
+    }
+
+    private fun serve(
+        exchange: ServerExchange,
+        arrivedAt: Timestamp,
+    ) {
+        val configuration = checkNotNull(context.configuration.current) { "requests wait for the configuration" }
         val route = configuration.route(exchange.header("Host").orEmpty(), exchange.path)
         if (route == null) {
             deny(exchange, RelayAnswers.NOT_FOUND, "unknown_route", configuration)
@@ -34,16 +49,16 @@
             deny(exchange, RelayAnswers.UNAUTHORIZED, "unknown_key", configuration)
             return
         }
-        begin(exchange, configuration, route, team)
+        begin(exchange, arrivedAt, configuration, route, team)
     }
 
     private fun begin(
         exchange: ServerExchange,
+        arrivedAt: Timestamp,
         configuration: RelayConfiguration,
         route: Route,
         team: TeamId?,
     ) {
-        val now = monotonicNow()
         val id = RequestId(exchange.header(context.names.requestId).orEmpty())
         val service = RouteTable.selectTarget(route, id.value.hashCode())?.let(configuration::service)
         if (service == null) {
@@ -64,10 +79,10 @@
                 service = service,
                 team = team.takeUnless { route.isPublic },
                 dropKey = configuration.requiresKeys,
-                arrivedAt = now,
-                expiry = now + minOf(callerTimeout ?: route.timeout, route.timeout),
+                arrivedAt = arrivedAt,
+                expiry = arrivedAt + minOf(callerTimeout ?: route.timeout, route.timeout),
             )
-        context.budgets.onRequest(now, service.id)
+        context.budgets.onRequest(monotonicNow(), service.id)
         val isStream = service.model != null || route.kind == RouteKind.STREAM
         val session =
             if (isStream) StreamSession(context, request, service.model) else CallSession(context, request)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -69,11 +69,13 @@
     public val retryAfterOverload: Duration = 250.milliseconds,
     /** `Retry-After` while this instance has no configuration. */
     public val retryAfterStart: Duration = 1.seconds,
+    /** How long a request waits for the first configuration and endpoints; about the time that a start needs. */
+    public val maxStartupWait: Duration = 500.milliseconds,
 ) {
     /** Prints the names that operators see in the output of `--check`, which differ from some property names. */
     override fun toString(): String =
         "RelayTimes(connect=$connectTimeout, maxIdleNonIdempotent=$maxIdleNonIdempotent, " +
             "silentAfterObjectives=$silentAfterObjectives, firstEvent=$firstEventTimeout, " +
             "eventGap=$eventTimeout, askAgain=$stallReportInterval, patience=$maxEventGap, " +
-            "quiet=$minSilence, retryAfterOverload=$retryAfterOverload, retryAfterStart=$retryAfterStart)"
+            "quiet=$minSilence, retryAfterOverload=$retryAfterOverload, retryAfterStart=$retryAfterStart, startupWait=$maxStartupWait)"
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayCallTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayCallTest.kt
@@ -97,6 +97,21 @@
         expectThat(relay.call(headers = mapOf("Authorization" to "")).status).isEqualTo(401)
     }
 
+    @Test
+    fun `serves a request that arrives shortly before the configuration and the endpoints`() {
+        val target = endpoint { request, _ -> write(Scripts.whole(request, "answer")) }
+        val answer =
+            java.util.concurrent.CompletableFuture
+                .supplyAsync { relay.call(headers = mapOf("Time-Left" to "2000")) }
+        Thread.sleep(PAUSE_MILLIS)
+        relay.configure(RelayFixture.route(RouteKind.NON_IDEMPOTENT))
+        Thread.sleep(PAUSE_MILLIS)
+        relay.register(target.registration())
+
+        expectThat(answer.get().status).isEqualTo(200)
+        expectThat(target.requests.single()["Time-Left"]?.toInt()).isNotNull().isIn(1..2_000 - PAUSE_MILLIS.toInt())
+    }
+
     @Test
     fun `ignores a configuration that is older than the one in force`() {
         val target = endpoint { request, _ -> write(Scripts.whole(request, "a")) }
