--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -77,5 +77,6 @@
         "RelayTimes(connect=$connectTimeout, maxIdleNonIdempotent=$maxIdleNonIdempotent, " +
             "silentAfterObjectives=$silentAfterObjectives, firstEvent=$firstEventTimeout, " +
             "eventGap=$eventTimeout, askAgain=$stallReportInterval, patience=$maxEventGap, " +
-            "quiet=$minSilence, retryAfterOverload=$retryAfterOverload, retryAfterStart=$retryAfterStart, startupWait=$maxStartupWait)"
+            "quiet=$minSilence, retryAfterOverload=$retryAfterOverload, retryAfterStart=$retryAfterStart, " +
+            "startupWait=$maxStartupWait)"
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StartupQueue.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StartupQueue.kt
@@ -10,8 +10,8 @@
  * Holds the requests that arrive before the instance has its configuration and endpoints.
  *
  * After a loss of power all callers come back at once, to instances that will know what to do within a fraction of a
- * second; a refusal would use up their last attempt. A request that has waited for [maxWait] is refused. Confined to the
- * event loop.
+ * second; a refusal would use up their last attempt. A request that has waited for [maxWait] is refused. Confined to
+ * the event loop.
  */
 internal class StartupQueue(
     private val timers: TimerService,
