Log when an instance reads that a configuration or an endpoint changes

Nothing told when an instance had read a change, at which revision, or how long the store had been silent, so the hypotheses of docs/incidents/issue-25.md looked alike in the logs.

Registrations carry their revision; EndpointDirectory returns what each one changed, and the relay logs it. Lines that name an endpoint or a configuration have the time since the store last confirmed them, and the time between two answers of the store is a metric.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -64,45 +64,48 @@
     /** The number of endpoints, including those whose registration may have lapsed in a store outage. */
     public val size: Int get() = entries.size
 
-    /** Replaces all registrations by those of [endpoints]. */
+    /** Replaces all registrations by those of [endpoints], and returns the change of each known or listed endpoint. */
     public fun replaceAll(
         now: Timestamp,
         endpoints: List<RelayEndpoint>,
-    ) {
+    ): Map<EndpointId, RegistrationChange> {
         isInitialized = true
-        endpoints.forEach(::put)
-        val listed = endpoints.mapTo(HashSet()) { it.id }
-        entries.keys.filter { it !in listed }.forEach { remove(now, it) }
+        val changes = endpoints.associateTo(HashMap()) { it.id to put(it) }
+        entries.keys.filter { it !in changes }.forEach { changes[it] = remove(now, it) }
+        return changes
     }
 
     /** Adds or updates the registration of [endpoint]; one of an earlier process with the same id is ignored. */
-    public fun put(endpoint: RelayEndpoint) {
+    public fun put(endpoint: RelayEndpoint): RegistrationChange {
         val known = entries[endpoint.id]
-        if (known != null && known.endpoint == endpoint && known.lapsedUntil == null) return
+        if (known != null && known.endpoint == endpoint && known.lapsedUntil == null) return RegistrationChange.NONE
+        if (known != null && endpoint.startedAt < known.endpoint.startedAt) return RegistrationChange.IGNORED
         entriesByService = null
         if (known == null || endpoint.startedAt > known.endpoint.startedAt) {
             entries[endpoint.id] = Entry(endpoint)
-        } else if (endpoint.startedAt == known.endpoint.startedAt) {
-            // A process never cancels its leave, so a registration without the flag is older.
-            val leaving = known.endpoint.isLeaving || endpoint.isLeaving
-            known.endpoint = endpoint.copy(isLeaving = leaving)
-            known.lapsedUntil = null
+            return RegistrationChange.ADDED
         }
+        val wasLeaving = known.endpoint.isLeaving
+        // A process never cancels its leave, so a registration without the flag is older.
+        known.endpoint = endpoint.copy(isLeaving = wasLeaving || endpoint.isLeaving)
+        known.lapsedUntil = null
+        return if (endpoint.isLeaving && !wasLeaving) RegistrationChange.LEAVING else RegistrationChange.UPDATED
     }
 
     /** Removes the registration of [endpoint], or lets it lapse during and shortly after a store outage. */
     public fun remove(
         now: Timestamp,
         endpoint: EndpointId,
-    ) {
+    ): RegistrationChange {
         val until = renewalDeadline
-        val entry = entries[endpoint] ?: return
+        val entry = entries[endpoint] ?: return RegistrationChange.NONE
         entriesByService = null
         if (isStoreLost || (until != null && now < until)) {
             if (entry.lapsedUntil == null) entry.lapsedUntil = until ?: Timestamp(Long.MAX_VALUE)
-        } else {
-            entries.remove(endpoint)
+            return RegistrationChange.LAPSED
         }
+        entries.remove(endpoint)
+        return RegistrationChange.REMOVED
     }
 
     /** Keeps removed registrations from now on, since the store does not answer. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayEndpoint.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayEndpoint.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.relay
 
+import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.LayerRange
 import oriolespindle.core.id.ServiceId
@@ -20,4 +21,6 @@
     public val accelerator: String? = null,
     /** The layers that the engine has loaded; null for a plain service and for an engine without layers. */
     public val layers: LayerRange? = null,
+    /** The revision of the store at which this registration was written. */
+    public val revision: Revision = Revision.NONE,
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -2,9 +2,11 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.lifecycle.ShutdownAction
+import oriolespindle.core.relay.RegistrationChange
 import oriolespindle.core.relay.RelayConfiguration
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.router.http.Address
@@ -95,17 +97,38 @@
         group.next().execute(action)
     }
 
-    /** Applies [configuration] unless it is older than the configuration in force. */
-    public fun configure(configuration: RelayConfiguration) {
-        if (!context.configuration.offer(configuration)) return
+    /** Applies [configuration], which was written at [revision], unless it is older than the configuration in force. */
+    public fun configure(
+        configuration: RelayConfiguration,
+        revision: Revision = Revision.NONE,
+    ) {
+        val previous = context.configuration.current?.version
+        val isNewer = context.configuration.offer(configuration)
+        EventLog.info(
+            if (isNewer) "configuration in force" else "older configuration ignored",
+            "version" to configuration.version,
+            "previous" to previous,
+            "revision" to revision,
+            "store_age_ms" to context.configurationContact.age?.inWholeMilliseconds,
+        )
+        if (!isNewer) return
         callers.settings = serverSettings(configuration)
-        EventLog.info("configuration in force", "version" to configuration.version)
         frontEnd.onStateChanged()
     }
 
+    /** Called when the store has confirmed that all changes of the configuration up to [revision] were reported. */
+    public fun onConfigurationConfirmed(revision: Revision): Unit = context.configurationContact.onConfirmed(revision)
+
+    /** Called when the store has confirmed that all changes of registrations up to [revision] were reported. */
+    public fun onEndpointsConfirmed(revision: Revision): Unit = context.endpointContact.onConfirmed(revision)
+
     /** Replaces all registered endpoints with [endpoints]. */
     public fun replaceEndpoints(endpoints: List<RelayEndpoint>) {
-        context.directory.replaceAll(monotonicNow(), endpoints)
+        val isFirst = !context.directory.isInitialized
+        val changes = context.directory.replaceAll(monotonicNow(), endpoints)
+        val counts = changes.values.groupingBy { it }.eachCount()
+        EventLog.info("endpoints listed", "count" to endpoints.size, "changes" to counts)
+        if (!isFirst) changes.forEach { (id, change) -> logChange(id, change, context.directory.find(id)?.revision) }
         val registered = endpoints.mapTo(HashSet()) { it.id }
         context.selector.retain(registered)
         context.concurrency.retain(registered)
@@ -115,10 +138,38 @@
     }
 
     /** Adds or updates one registered endpoint. */
-    public fun putEndpoint(endpoint: RelayEndpoint): Unit = context.directory.put(endpoint)
+    public fun putEndpoint(endpoint: RelayEndpoint) {
+        logChange(endpoint.id, context.directory.put(endpoint), endpoint.revision)
+    }
 
     /** Removes the registration of an endpoint. */
-    public fun removeEndpoint(id: EndpointId): Unit = context.directory.remove(monotonicNow(), id)
+    public fun removeEndpoint(id: EndpointId) {
+        val known = context.directory.find(id)?.revision
+        logChange(id, context.directory.remove(monotonicNow(), id), known)
+    }
+
+    /** Logs a change that decides whether an endpoint is used; [revision] is that of its last registration. */
+    private fun logChange(
+        id: EndpointId,
+        change: RegistrationChange,
+        revision: Revision?,
+    ) {
+        val message =
+            when (change) {
+                RegistrationChange.ADDED -> "endpoint added"
+                RegistrationChange.LEAVING -> "endpoint leaves"
+                RegistrationChange.REMOVED -> "endpoint removed"
+                RegistrationChange.LAPSED -> "endpoint kept after its registration was removed"
+                RegistrationChange.IGNORED -> "older registration ignored"
+                RegistrationChange.UPDATED, RegistrationChange.NONE -> return
+            }
+        EventLog.info(
+            message,
+            "endpoint" to id,
+            "revision" to revision,
+            "store_age_ms" to context.endpointContact.age?.inWholeMilliseconds,
+        )
+    }
 
     /** Updates the number of instances that share the budgets, and of those that use the endpoints of this zone. */
     public fun onInstanceCountChanged(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -29,6 +29,8 @@
     val headers = RelayHeaders(names)
     val configuration = ConfigurationHolder()
     val directory = EndpointDirectory()
+    val configurationContact = StoreContact()
+    val endpointContact = StoreContact()
     val budgets = ServiceBudgets(settings.budgets, startedAt = monotonicNow())
     val policy = AttemptPolicy(budgets)
     val selector = EndpointSelector(zone)
@@ -41,6 +43,14 @@
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
 
+    /** Log fields that tell how current the configuration and the endpoints are. */
+    fun contactFields(): Array<Pair<String, Any?>> =
+        arrayOf(
+            "configuration_age_ms" to configurationContact.age?.inWholeMilliseconds,
+            "endpoints_revision" to endpointContact.revision,
+            "endpoints_age_ms" to endpointContact.age?.inWholeMilliseconds,
+        )
+
     /** Whether both the configuration and the endpoints have been received. */
     val isInitialized: Boolean get() = configuration.current != null && directory.isInitialized
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -109,6 +109,7 @@
             "path" to exchange.path,
             "reason" to reason,
             "configuration" to configuration.version,
+            *context.contactFields(),
         )
         exchange.respond(RelayAnswers.denial(status, reason))
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
@@ -15,6 +15,7 @@
     private val counters = HashMap<Triple<String, String, String>, Counter>()
     private val firstEvent = timer("oriolespindle.relay.first.event")
     private val answer = timer("oriolespindle.relay.answer")
+    private val storeIntervals = HashMap<String, Timer>()
 
     /** Counts a request that ended with [outcome], which is one of `done`, `refused`, `failed`, `cut` and `left`. */
     public fun onRequestEnded(
@@ -40,6 +41,15 @@
         result: String,
     ): Unit = count("oriolespindle.relay.store.calls", "call", "$operation/$result")
 
+    /** Records the [interval] between two successful answers of the store about the objects of [kind]. */
+    public fun onStoreAnswer(
+        kind: String,
+        interval: Duration,
+    ) {
+        val timer = storeIntervals.getOrPut(kind) { timer("oriolespindle.relay.store.answer.interval", "kind", kind) }
+        timer.record(interval.toJavaDuration())
+    }
+
     /** Counts an order to load layers that ended with [result]. */
     public fun onOrderEnded(result: String): Unit = count("oriolespindle.relay.orders", "result", result)
 
@@ -76,7 +86,15 @@
         counters.getOrPut(key) { Counter.builder(name).tag(label, value).register(registry) }.increment()
     }
 
-    private fun timer(name: String): Timer = Timer.builder(name).publishPercentiles(MEDIAN, TAIL).register(registry)
+    private fun timer(
+        name: String,
+        vararg tags: String,
+    ): Timer =
+        Timer
+            .builder(name)
+            .tags(*tags)
+            .publishPercentiles(MEDIAN, TAIL)
+            .register(registry)
 
     private companion object {
         const val MEDIAN = 0.5
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -160,6 +160,7 @@
             "reason" to reason,
             "sends" to history.sends,
             "decision" to decision,
+            *context.contactFields(),
         )
         perform(decision, reason, deliver)
     }
@@ -235,6 +236,7 @@
     ) {
         if (ended) return
         ended = true
+        val endpoint = receiver
         stopWatching()
         expiryTimer?.cancel(false)
         onAttemptEnded()
@@ -247,9 +249,11 @@
             "service" to request.service.id,
             "outcome" to outcome,
             "detail" to detail,
+            "endpoint" to endpoint,
             "sends" to history.sends,
             "millis" to duration.inWholeMilliseconds,
             "configuration" to context.configuration.current?.version,
+            *context.contactFields(),
         )
     }
 
