Bound the time until an instance notices that the store answers again

Cause: a call that a silent store has swallowed was awaited for the whole length of a watch, 2.9 s, and repeated after up to 800 ms more, so a change could be known 3.7 s after the store was back; the limit applies 3 s after. When the first call afterwards met no change, the return itself was noticed only with the next change or 2.4 s later, and until then removed registrations were taken for lapses.

Each wait was right for itself; nothing added them up. WatchTiming now does: the watch leaves room for a call that notices the silence, calls after a failure are short (0.55 s) until one is answered, and their starts are at most 0.5 s apart.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchTiming.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/config/WatchTiming.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.config
 
+import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -11,10 +12,12 @@
     public val answerTime: Duration = 500.milliseconds,
     /** The time from the end of a watch to the start of the next one on a loaded machine. */
     public val maxGap: Duration = 100.milliseconds,
-    /** The delay after the first failure; it doubles with each further one. */
-    public val initialRetryDelay: Duration = 50.milliseconds,
-    /** The longest delay, so that a configuration is applied in time once the store answers again. */
-    public val maxRetryDelay: Duration = 800.milliseconds,
+    /** How long the store may hold a call open that only finds out whether it answers. */
+    public val probeWait: Duration = 50.milliseconds,
+    /** The time between the starts of two calls after the first failure; it doubles with each further one. */
+    public val initialRetryInterval: Duration = 50.milliseconds,
+    /** The longest time between the starts of two calls, unless a call takes longer. */
+    public val maxRetryInterval: Duration = 500.milliseconds,
 )
 
 /** One call of a watch: how long the store may hold it open without a change, and when it is given up. */
@@ -23,19 +26,32 @@
     public val timeout: Duration,
 )
 
-/** Decides how long the calls of one watch last, and when a failed one is repeated. */
+/**
+ * Decides how long the calls of one watch last, and when a failed one is repeated.
+ *
+ * A call that a silent store or connection has swallowed is only noticed by its timeout, so everything that follows
+ * has to fit into the rest of [WatchTimingSettings.silenceLimit]. After a failure, calls are short until one is
+ * answered: an open watch without changes would not tell that the store is back.
+ */
 public class WatchTiming(
     private val settings: WatchTimingSettings,
 ) {
     private var failures = 0
+    private var startedAt = Timestamp.ZERO
+
+    private val probe = WatchCall(settings.probeWait, settings.probeWait + settings.answerTime)
+    private val watch =
+        (settings.silenceLimit - settings.answerTime - settings.maxGap - probe.timeout).let {
+            WatchCall(it, it + settings.answerTime)
+        }
 
     /** Whether the store does not answer; a single watch can be interrupted while the store is healthy. */
     public val isStoreLost: Boolean get() = failures >= FAILURES_UNTIL_LOST
 
-    /** Returns the next call. */
-    public fun next(): WatchCall {
-        val wait = settings.silenceLimit - settings.answerTime - settings.maxGap
-        return WatchCall(wait, wait + settings.answerTime)
+    /** Returns the call that starts [now]. */
+    public fun start(now: Timestamp): WatchCall {
+        startedAt = now
+        return if (failures == 0) watch else probe
     }
 
     /** Called when the store has answered. */
@@ -43,17 +59,18 @@
         failures = 0
     }
 
-    /** Called when a call has failed; returns the delay before it is repeated. */
-    public fun onFailure(): Duration {
+    /** Called when the call in progress has failed; returns the delay before the next one. */
+    public fun onFailure(now: Timestamp): Duration {
         val factor = 1 shl minOf(failures, MAX_DOUBLINGS)
         failures++
-        return minOf(settings.initialRetryDelay * factor, settings.maxRetryDelay)
+        val interval = minOf(settings.initialRetryInterval * factor, settings.maxRetryInterval)
+        return (startedAt + interval - now).coerceAtLeast(Duration.ZERO)
     }
 
     private companion object {
         const val FAILURES_UNTIL_LOST = 2
 
-        /** Bounds the factor of a delay, which reaches its maximum after a few doublings. */
+        /** Bounds the factor of an interval, which reaches its maximum after a few doublings. */
         const val MAX_DOUBLINGS = 5
     }
 }
