Leave an endpoint alone in time that is removed shortly after an outage

The instance logged "endpoint kept after its registration was removed" 4 ms after the removal and still sent to it 2.13 s later.

Cause: every removal until 2.2 s after an instance has found the store again was taken for a lapse and its endpoint kept until 2.2 s after the return, although the store had confirmed the registration meanwhile. The return was noticed with the first change, so the whole 2.2 s could begin with the removal itself; the limit is 2 s.

A removal that the store reports after it has confirmed the registration is now kept until 1.8 s after that confirmation at most (the limit for drains less 0.2 s to send a request), whichever end is earlier; the removal cannot be older than the confirmation. Lapses that are found with the return itself are kept as before.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -14,6 +14,12 @@
      * Endpoints renew them within two seconds of the store's return; see docs/platform.md.
      */
     public val renewalTimeout: Duration = 2_200.milliseconds,
+    /**
+     * How long an endpoint whose removal may be a lapse stays in use after the store last confirmed its registration.
+     *
+     * Less than the time after which an endpoint that leaves must receive no more requests.
+     */
+    public val removalTimeout: Duration = 1_800.milliseconds,
     /** The first backoff after a failure or refusal; it doubles with each further one. */
     public val initialBackoff: Duration = 100.milliseconds,
     /** The longest backoff after failures; short enough to find a restarted endpoint soon after it listens again. */
@@ -29,10 +35,13 @@
  *
  * An endpoint is dropped at once when its registration is removed while the store answers. A registration that is
  * missing after a store outage may only have lapsed, so its endpoint stays in use until
- * [DirectorySettings.renewalTimeout] after the store's return. Of several registrations at one address only the last
- * started process can answer, so the others are not used even if they are still registered. Failures and refusals put
- * an endpoint into an exponential backoff. Progress of a request that was sent before a refusal does not end the
- * refusal's backoff, since an endpoint that leaves finishes its earlier requests, too.
+ * [DirectorySettings.renewalTimeout] after the store's return. If the store has confirmed the registration since its
+ * return, the endpoint may as well have left, so it stays in use for [DirectorySettings.removalTimeout] at most.
+ *
+ * Of several registrations at one address only the last started process can answer, so the others are not used even if
+ * they are still registered. Failures and refusals put an endpoint into an exponential backoff. Progress of a request
+ * that was sent before a refusal does not end the refusal's backoff, since an endpoint that leaves finishes its earlier
+ * requests, too.
  */
 public class EndpointDirectory(
     private val settings: DirectorySettings = DirectorySettings(),
@@ -57,6 +66,9 @@
     /** When registrations that lapsed in the latest store outage expire; null before it and while it lasts. */
     private var renewalDeadline: Timestamp? = null
 
+    /** When the store last confirmed all registrations; null until it has done so since its return. */
+    private var confirmedAt: Timestamp? = null
+
     /** Whether [replaceAll] has been called at least once. */
     public var isInitialized: Boolean = false
         private set
@@ -97,21 +109,29 @@
         now: Timestamp,
         endpoint: EndpointId,
     ): RegistrationChange {
-        val until = renewalDeadline
         val entry = entries[endpoint] ?: return RegistrationChange.NONE
+        val until = lapseEnd(now)
         entriesByService = null
-        if (isStoreLost || (until != null && now < until)) {
-            if (entry.lapsedUntil == null) entry.lapsedUntil = until ?: Timestamp(Long.MAX_VALUE)
+        if (now < until) {
+            if (entry.lapsedUntil == null) entry.lapsedUntil = until
             return RegistrationChange.LAPSED
         }
         entries.remove(endpoint)
         return RegistrationChange.REMOVED
     }
 
+    /** Returns until when an endpoint whose registration is removed stays in use; [now] if it has certainly left. */
+    private fun lapseEnd(now: Timestamp): Timestamp {
+        if (isStoreLost) return FAR_FUTURE
+        val renewal = renewalDeadline ?: return now
+        return minOf(renewal, confirmedAt?.let { it + settings.removalTimeout } ?: renewal)
+    }
+
     /** Keeps removed registrations from now on, since the store does not answer. */
     public fun onStoreLost() {
         isStoreLost = true
         renewalDeadline = null
+        confirmedAt = null
     }
 
     /** Lets lapsed registrations expire after [DirectorySettings.renewalTimeout], since the store answers again. */
@@ -123,6 +143,11 @@
         entries.values.forEach { if (it.lapsedUntil != null) it.lapsedUntil = until }
     }
 
+    /** Called when the store has answered and all changes of registrations so far have been reported. */
+    public fun onConfirmed(now: Timestamp) {
+        if (!isStoreLost) confirmedAt = now
+    }
+
     /** Starts a backoff because another endpoint reports that [endpoint] does not answer. */
     public fun onReportedLost(
         now: Timestamp,
@@ -224,4 +249,8 @@
                 val lastStart = sharing.maxOf { it.endpoint.startedAt }
                 sharing.filter { it.endpoint.startedAt == lastStart }
             }.groupBy { it.endpoint.service }
+
+    private companion object {
+        val FAR_FUTURE = Timestamp(Long.MAX_VALUE)
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -120,7 +120,10 @@
     public fun onConfigurationConfirmed(revision: Revision): Unit = context.configurationContact.onConfirmed(revision)
 
     /** Called when the store has confirmed that all changes of registrations up to [revision] were reported. */
-    public fun onEndpointsConfirmed(revision: Revision): Unit = context.endpointContact.onConfirmed(revision)
+    public fun onEndpointsConfirmed(revision: Revision) {
+        context.endpointContact.onConfirmed(revision)
+        context.directory.onConfirmed(monotonicNow())
+    }
 
     /** Replaces all registered endpoints with [endpoints]. */
     public fun replaceEndpoints(endpoints: List<RelayEndpoint>) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -28,7 +28,7 @@
     val zone: ZoneId = settings.zone
     val headers = RelayHeaders(names)
     val configuration = ConfigurationHolder()
-    val directory = EndpointDirectory()
+    val directory = EndpointDirectory(settings.directory)
     val configurationContact = StoreContact()
     val endpointContact = StoreContact()
     val budgets = ServiceBudgets(settings.budgets, startedAt = monotonicNow())
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -3,6 +3,7 @@
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.lifecycle.ShutdownSettings
+import oriolespindle.core.relay.DirectorySettings
 import oriolespindle.core.relay.ServiceBudgetSettings
 import oriolespindle.router.http.Address
 import kotlin.time.Duration
@@ -29,6 +30,7 @@
     public val maxConnections: Int,
     public val shutdown: ShutdownSettings,
     public val times: RelayTimes = RelayTimes(),
+    public val directory: DirectorySettings = DirectorySettings(),
 )
 
 /** Timeouts and delays of the relay. */
