Ask again whether an endpoint leaves before the first byte is sent

ClientRequest.isWanted is asked on the open connection; all engines of a path have to be in use still. A request that is not wanted any more was not sent, so it is tried at another endpoint.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -210,6 +210,16 @@
     /** Returns the endpoint [id], or null if it is not registered. */
     public fun find(id: EndpointId): RelayEndpoint? = entries[id]?.endpoint
 
+    /** Returns whether requests may be sent to [endpoint], that is, to this process of it; backoffs do not count. */
+    public fun isInUse(
+        now: Timestamp,
+        endpoint: RelayEndpoint,
+    ): Boolean {
+        val entry = entries[endpoint.id] ?: return false
+        val isSameProcess = entry.endpoint.startedAt == endpoint.startedAt
+        return isSameProcess && !entry.endpoint.isLeaving && entry.lapsedUntil?.let { now < it } != false
+    }
+
     /** Returns the registered endpoint at [address], or null; if there are several, the one that started last. */
     public fun findByAddress(address: String): RelayEndpoint? =
         entries.values
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -9,8 +9,10 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -50,6 +52,21 @@
         expectThat(usable(back + 3.seconds)).containsExactly("a")
     }
 
+    @Test
+    fun `guards against sending to an endpoint that left after it was selected`() {
+        val selected = endpoint("a")
+        directory.put(selected)
+        directory.onRefusal(start, selected.id)
+        expectThat(directory.isInUse(start, selected)).isTrue()
+
+        directory.put(endpoint("a", isLeaving = true))
+        expectThat(directory.isInUse(start, selected)).isFalse()
+        directory.put(endpoint("a", startedAt = 2))
+        expectThat(directory.isInUse(start, selected)).isFalse()
+        directory.remove(start, selected.id)
+        expectThat(directory.isInUse(start, endpoint("a", startedAt = 2))).isFalse()
+    }
+
     @Test
     fun `uses only the last started of several registrations at one address`() {
         directory.replaceAll(start, listOf(endpoint("old", startedAt = 1), endpoint("new", startedAt = 2)))
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
@@ -44,6 +44,9 @@
     /** [ClientRequest.notAfter] passed before a connection was open. */
     EXPIRED,
 
+    /** [ClientRequest.isWanted] was false once a connection was open. */
+    UNWANTED,
+
     /** The call was cancelled with [ClientCall.cancel]. */
     CANCELLED,
 }
@@ -56,6 +59,8 @@
  * @property freshConnection whether a new connection is opened instead of using a pooled one.
  * @property maxIdle the maximum idle time of a pooled connection for this request; null for the client's setting.
  * @property notAfter the latest time to send the request, checked on the open connection just before the first byte.
+ * @property isWanted returns whether the request may still be sent, asked on the open connection just before the first
+ *   byte.
  * @property isAnswer returns whether headers are of the response to this request; a response with other headers belongs
  *   to an earlier request and is skipped.
  */
@@ -70,6 +75,7 @@
     public val freshConnection: Boolean = false,
     public val maxIdle: Duration? = null,
     public val notAfter: Timestamp? = null,
+    public val isWanted: () -> Boolean = { true },
     public val isAnswer: (HttpHeaders) -> Boolean = { true },
 )
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -170,6 +170,11 @@
             call.fail(FailureKind.EXPIRED)
             return
         }
+        if (!request.isWanted()) {
+            channel.close()
+            call.fail(FailureKind.UNWANTED)
+            return
+        }
         if (!call.attach(channel)) {
             channel.close()
             return
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -36,7 +36,7 @@
         startedAt = now
         context.selector.onRequestStarted(chosen.id)
         val runsOnce = request.route.kind == RouteKind.NON_IDEMPOTENT
-        send(chosen, emptyList(), context.times.maxIdleNonIdempotent.takeIf { runsOnce }, ::onEvent)
+        send(chosen, emptyList(), context.times.maxIdleNonIdempotent.takeIf { runsOnce }, listener = ::onEvent)
         val objective = request.route.objective
         if (!runsOnce && objective != null) watchAttempt(objective * context.times.silentAfterObjectives, ::onSilence)
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -77,6 +77,8 @@
         endpoint: RelayEndpoint,
         headers: List<Pair<String, String>>,
         maxIdle: Duration?,
+        /** All endpoints that take part; the request is not sent if one of them has begun to leave meanwhile. */
+        receivers: List<RelayEndpoint> = listOf(endpoint),
         listener: (ClientEvent) -> Unit,
     ) {
         val names = context.names
@@ -94,6 +96,7 @@
                 headers = request.team?.let { ownHeaders + (names.team to it.value) } ?: ownHeaders,
                 maxIdle = maxIdle,
                 notAfter = request.expiry,
+                isWanted = { receivers.all { context.directory.isInUse(monotonicNow(), it) } },
                 isAnswer = { isAnswer(it.get(names.requestId)) },
             )
         var current: ClientCall? = null
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -62,7 +62,8 @@
         if (answerBegun) position.onResumed()
         path?.let { context.load.onRequestStarted(it, tokens) }
         exchange.onWritable = ::onCallerWritable
-        send(target, pathHeaders(), maxIdle = null, ::onEvent)
+        val receivers = path?.parts?.map { it.endpoint } ?: listOf(target)
+        send(target, pathHeaders(), maxIdle = null, receivers, ::onEvent)
         lastEventAt = startedAt
         context.streams += this
         watchAttempt(context.times.firstEventTimeout, ::onStalled)
