Log how a shutdown proceeds and which requests arrive during it

An instance that stops now logs each phase with the numbers of connections and requests, and each request that arrives after the signal with the age of its connection and its number on it. No decision changes.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -85,6 +85,9 @@
     /** The number of requests in flight. */
     public val requestsInFlight: Int get() = inFlight.size
 
+    /** Returns the time since the shutdown was requested; null before. */
+    public fun stoppingFor(now: Timestamp): Duration? = (now - requestedAt).takeIf { phase != Phase.RUNNING }
+
     /** Applies [event] and returns the actions to perform. */
     public fun handle(
         now: Timestamp,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
@@ -40,11 +40,19 @@
     private var timeout: ScheduledFuture<*>? = null
     private var phase = Phase.IDLE
     private var idleSince = Timestamp.ZERO
-    private var requestCount = 0
+    private var openedAt = Timestamp.ZERO
+
+    /** The number of requests that have begun on the connection. */
+    var requestCount: Int = 0
+        private set
+
+    /** How long the connection has been open. */
+    val connectionAge: Duration get() = monotonicNow() - openedAt
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         observer.onOpened()
-        idleSince = monotonicNow()
+        openedAt = monotonicNow()
+        idleSince = openedAt
         scheduleClose(ctx, idleTimeout)
         ctx.fireChannelActive()
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -19,6 +19,7 @@
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
 
 /** A complete response. */
 internal class HttpAnswer(
@@ -40,6 +41,7 @@
 internal class ServerExchange(
     private val ctx: ChannelHandlerContext,
     request: AssembledRequest,
+    private val connection: RequestTimeoutHandler,
     private val isClosing: () -> Boolean,
     private val onEnd: () -> Unit,
 ) {
@@ -67,6 +69,12 @@
 
     val isWritable: Boolean get() = ctx.channel().isWritable
 
+    /** How long the connection has been open. */
+    val connectionAge: Duration get() = connection.connectionAge
+
+    /** The number of requests on the connection up to this one. */
+    val requestNumber: Int get() = connection.requestCount
+
     /** Calls [action] once, when the response is complete or its connection closed. */
     fun whenAnswered(action: () -> Unit) {
         answeredAction.set(action)
@@ -208,8 +216,9 @@
         ctx: ChannelHandlerContext,
         request: AssembledRequest,
     ) {
-        ctx.pipeline().get(RequestTimeoutHandler::class.java).onRequestReceived()
-        val exchange = ServerExchange(ctx, request, isClosing) { onExchangeEnded(ctx) }
+        val connection = ctx.pipeline().get(RequestTimeoutHandler::class.java)
+        connection.onRequestReceived()
+        val exchange = ServerExchange(ctx, request, connection, isClosing) { onExchangeEnded(ctx) }
         current = exchange
         handler(exchange)
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
@@ -7,6 +7,7 @@
 import oriolespindle.core.lifecycle.ShutdownSettings
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -24,6 +25,14 @@
     val isReady: Boolean
         @Synchronized get() = stateMachine.isReady
 
+    /** The time since the shutdown was requested; null before. */
+    val stoppingFor: Duration?
+        @Synchronized get() = stateMachine.stoppingFor(monotonicNow())
+
+    /** The number of requests in flight, including those that have not arrived completely. */
+    val requestsInFlight: Int
+        @Synchronized get() = stateMachine.requestsInFlight
+
     fun requestShutdown() {
         handle(ShutdownEvent.Requested)
         timers.every(TICK_INTERVAL) { handle(ShutdownEvent.Tick) }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -44,8 +44,8 @@
     /** Runs timers on the event loop. */
     public val timers: TimerService = TimerService(group.next())
     private val context = RelayContext(settings, http, timers, metrics)
-    private val frontEnd = RelayFrontEnd(context)
     private val shutdown = ShutdownCoordinator(settings.shutdown, timers, ::perform)
+    private val frontEnd = RelayFrontEnd(context) { shutdown.stoppingFor }
     private val callers =
         HttpServer(group, serverSettings(null), observer = CallerObserver(), handler = frontEnd::onRequest)
     private val readiness = HttpServer(group) { frontEnd.readiness(it, isReady) }
@@ -204,7 +204,7 @@
 
     /** Starts a graceful shutdown: the instance stops once every request in flight is answered. */
     public fun shutDown() {
-        EventLog.info("shutdown requested", "in_flight" to callers.connectionCount)
+        EventLog.info("shutdown requested", *loadFields())
         placement?.stop()
         shutdown.requestShutdown()
     }
@@ -221,6 +221,7 @@
             }
 
             ShutdownAction.StopAccepting -> {
+                EventLog.info("listener closed", *loadFields())
                 callers.stopAccepting()
             }
 
@@ -229,12 +230,19 @@
             }
 
             ShutdownAction.Exit -> {
-                EventLog.info("instance stopped")
+                EventLog.info("instance stopped", *loadFields())
                 onStopped()
             }
         }
     }
 
+    private fun loadFields(): Array<Pair<String, Any?>> =
+        arrayOf(
+            "connections" to callers.connectionCount,
+            "in_flight" to shutdown.requestsInFlight,
+            "stopping_ms" to shutdown.stoppingFor?.inWholeMilliseconds,
+        )
+
     private fun serverSettings(configuration: RelayConfiguration?): HttpServerSettings {
         val limits = configuration?.limits ?: return HttpServerSettings(maxConnections = settings.maxConnections)
         return HttpServerSettings(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -11,11 +11,14 @@
 import oriolespindle.router.http.ServerExchange
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Checks requests of callers against the configuration and starts a session for each allowed one. */
 internal class RelayFrontEnd(
     private val context: RelayContext,
+    /** Returns the time since the shutdown was requested; null before. */
+    private val stoppingFor: () -> Duration?,
 ) {
     private val startup = StartupQueue(context.timers, context.times.maxStartupWait, ::refuseAtStart, ::serve)
 
@@ -39,6 +42,7 @@
         arrivedAt: Timestamp,
     ) {
         val configuration = checkNotNull(context.configuration.current) { "requests wait for the configuration" }
+        stoppingFor()?.let { logLateArrival(exchange, it) }
         val route = configuration.route(exchange.header("Host").orEmpty(), exchange.path)
         if (route == null) {
             deny(exchange, RelayAnswers.NOT_FOUND, "unknown_route", configuration)
@@ -89,6 +93,17 @@
         session.start()
     }
 
+    private fun logLateArrival(
+        exchange: ServerExchange,
+        stoppingFor: Duration,
+    ) = EventLog.info(
+        "request arrived during the shutdown",
+        "request" to exchange.header(context.names.requestId),
+        "stopping_ms" to stoppingFor.inWholeMilliseconds,
+        "connection_ms" to exchange.connectionAge.inWholeMilliseconds,
+        "connection_requests" to exchange.requestNumber,
+    )
+
     private fun key(exchange: ServerExchange): String? {
         val authorization = exchange.header("Authorization") ?: return null
         val scheme = authorization.substringBefore(' ')
