Refuse requests that a stopping instance may not finish

Cause: nothing in the shutdown knew when the process would be killed. Every request that arrived on an open connection was passed on until the end, although streams last for up to 8.5 s, and the listener stayed open for up to 4 s since the load balancer uses all instances of a zone when fewer than half of them are ready.

InstanceShutdown now knows the grace period (new option, from the deployment). A request is accepted only if its route's recent answers say that it can be finished: more likely than not until the load balancer has had time to react, as good as certainly from then on. What is in flight shortly before the end gets a true answer: 503 if it was not sent, 502 if it may have run. Begun streams are cut, not ended.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -3,6 +3,7 @@
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** An input of [InstanceShutdown]. */
@@ -40,7 +41,10 @@
         public val idleFor: Duration,
     ) : ShutdownAction
 
-    /** Exit the process; no request is in flight and no new one can arrive. */
+    /** End every request in flight with an answer that is true, since the process is about to be killed. */
+    public data object EndRequests : ShutdownAction
+
+    /** Exit the process; no request is in flight and no new one can arrive, or the process is about to be killed. */
     public data object Exit : ShutdownAction
 }
 
@@ -51,27 +55,34 @@
  * covers two readiness checks of 2 s and their lag, and no connection was opened for [quietFor]. [acceptAtMost] is the
  * longest wait for a load balancer that ignores readiness. A connection is closed only after it was idle for [idleFor],
  * because a request is more likely to be in transit on a connection that was used recently.
+ *
+ * The platform kills the process once [grace] has passed since the shutdown was requested; with null it waits for ever.
+ * Requests that are still in flight [endReserve] before that are ended.
  */
 public data class ShutdownSettings(
     public val unreadyFor: Duration = 5.seconds,
     public val quietFor: Duration = 2.seconds,
     public val acceptAtMost: Duration = 60.seconds,
     public val idleFor: Duration = 1.seconds,
+    public val grace: Duration? = null,
+    public val endReserve: Duration = 300.milliseconds,
 ) {
+    /** How long after the request of the shutdown requests in flight are ended; null if they may take any time. */
+    internal val endAfter: Duration? get() = grace?.let { maxOf(Duration.ZERO, it - endReserve) }
+
     init {
         require(acceptAtMost >= unreadyFor) { "acceptAtMost is $acceptAtMost, must be at least $unreadyFor" }
     }
 }
 
 /**
- * Graceful shutdown of an instance: it stops accepting connections and exits once all requests have finished.
- *
- * The shutdown sets no deadline for requests in flight, because each request has its own.
+ * Graceful shutdown of an instance: it stops accepting connections and exits once all requests have finished, or shortly
+ * before the platform kills it. [LateRequestPolicy] decides which requests are still accepted meanwhile.
  */
 public class InstanceShutdown(
     private val settings: ShutdownSettings = ShutdownSettings(),
 ) {
-    private enum class Phase { RUNNING, UNREADY, CLOSING, ENDED }
+    private enum class Phase { RUNNING, UNREADY, CLOSING, ENDING, ENDED }
 
     private val inFlight = HashSet<RequestId>()
     private var phase = Phase.RUNNING
@@ -88,6 +99,10 @@
     /** Returns the time since the shutdown was requested; null before. */
     public fun stoppingFor(now: Timestamp): Duration? = (now - requestedAt).takeIf { phase != Phase.RUNNING }
 
+    /** Returns the time until requests in flight are ended; null before the shutdown or if it has no limit. */
+    public fun timeLeft(now: Timestamp): Duration? =
+        stoppingFor(now)?.let { stopping -> settings.endAfter?.let { it - stopping } }
+
     /** Applies [event] and returns the actions to perform. */
     public fun handle(
         now: Timestamp,
@@ -133,12 +148,41 @@
         return emptyList()
     }
 
-    private fun onTick(now: Timestamp): List<ShutdownAction> =
-        when (phase) {
-            Phase.RUNNING, Phase.ENDED -> emptyList()
-            Phase.UNREADY -> if (hasTrafficMoved(now)) stopAccepting() else emptyList()
-            Phase.CLOSING -> if (canExit(now)) exit() else listOf(ShutdownAction.CloseIdle(settings.idleFor))
+    private fun onTick(now: Timestamp): List<ShutdownAction> {
+        val timeLeft = timeLeft(now)
+        return when (phase) {
+            Phase.RUNNING, Phase.ENDED -> {
+                emptyList()
+            }
+
+            Phase.UNREADY, Phase.CLOSING -> {
+                if (timeLeft != null && timeLeft <= Duration.ZERO) endRequests() else onTickWithTimeLeft(now)
+            }
+
+            Phase.ENDING -> {
+                // Half of the reserve is left for callers that are slow to take the last bytes of their answers.
+                val isLate = timeLeft != null && -timeLeft >= settings.endReserve / 2
+                if (inFlight.isEmpty() || isLate) exit() else emptyList()
+            }
         }
+    }
+
+    private fun onTickWithTimeLeft(now: Timestamp): List<ShutdownAction> =
+        when {
+            phase == Phase.CLOSING && canExit(now) -> exit()
+            phase == Phase.CLOSING -> listOf(closeIdle())
+            hasTrafficMoved(now) -> stopAccepting()
+            now - requestedAt >= settings.unreadyFor -> listOf(closeIdle())
+            else -> emptyList()
+        }
+
+    private fun closeIdle() = ShutdownAction.CloseIdle(settings.idleFor)
+
+    private fun endRequests(): List<ShutdownAction> {
+        val first = if (phase == Phase.UNREADY) listOf(ShutdownAction.StopAccepting) else emptyList()
+        phase = Phase.ENDING
+        return first + ShutdownAction.CloseIdle(Duration.ZERO) + ShutdownAction.EndRequests
+    }
 
     private fun hasTrafficMoved(now: Timestamp): Boolean {
         val waited = now - requestedAt
@@ -148,7 +192,7 @@
 
     private fun stopAccepting(): List<ShutdownAction> {
         phase = Phase.CLOSING
-        return listOf(ShutdownAction.StopAccepting, ShutdownAction.CloseIdle(settings.idleFor))
+        return listOf(ShutdownAction.StopAccepting, closeIdle())
     }
 
     /** Connections that were used less than [ShutdownSettings.idleFor] ago are still open and may carry a request. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
@@ -37,6 +37,12 @@
     /** The services with a model, whose layers are placed on engines. */
     public val modelServices: List<RelayService> = services.filter { it.model != null }
 
+    /** The names of all routes. */
+    public val routeNames: Set<String> = routes.mapTo(HashSet()) { it.name }
+
+    /** The ids of all services. */
+    public val serviceIds: Set<ServiceId> get() = servicesById.keys
+
     /** Whether requests need keys, except on public routes. */
     public val requiresKeys: Boolean get() = teamsByKey != null
 
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/InstanceShutdownTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/InstanceShutdownTest.kt
@@ -90,4 +90,51 @@
         expectThat(actions.count { it == ShutdownAction.StopAccepting }).isEqualTo(1)
         expectThat(shutdown.isReady).isEqualTo(false)
     }
+
+    @Test
+    fun `requests that are still in flight are ended before the platform kills the process`() {
+        val settings = ShutdownSettings(unreadyFor = 2.seconds, acceptAtMost = 4.seconds, grace = 8.seconds)
+        val shutdown = InstanceShutdown(settings)
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.RequestStarted(RequestId("r")))
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.Requested)
+        val actions =
+            (0..79).associateWith { step ->
+                val now = Timestamp.ZERO + (step * 100).milliseconds
+                shutdown.handle(now, ShutdownEvent.Tick)
+            }
+
+        expectThat(actions.filterValues { ShutdownAction.EndRequests in it }.keys).isEqualTo(setOf(77))
+        // The answer of the request has not been written completely, for example because its caller does not read.
+        expectThat(actions.filterValues { ShutdownAction.Exit in it }.keys).isEqualTo(setOf(79))
+        expectThat(shutdown.timeLeft(Timestamp.ZERO + 4.seconds)).isEqualTo(3_700.milliseconds)
+    }
+
+    @Test
+    fun `a listener that is still open is closed before requests are ended`() {
+        val shutdown = InstanceShutdown(ShutdownSettings(grace = 1.seconds))
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.Requested)
+
+        expectThat(shutdown.handle(Timestamp.ZERO + 1.seconds, ShutdownEvent.Tick))
+            .isEqualTo(
+                listOf(
+                    ShutdownAction.StopAccepting,
+                    ShutdownAction.CloseIdle(Duration.ZERO),
+                    ShutdownAction.EndRequests,
+                ),
+            )
+        expectThat(shutdown.handle(Timestamp.ZERO + 1.seconds, ShutdownEvent.Tick)).isEqualTo(
+            listOf(ShutdownAction.CloseIdle(Duration.ZERO), ShutdownAction.Exit),
+        )
+    }
+
+    @Test
+    fun `idle connections are closed once the load balancer has had time to move its traffic`() {
+        val shutdown = InstanceShutdown(ShutdownSettings(unreadyFor = 2.seconds, quietFor = 5.seconds))
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.ConnectionOpened)
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.Requested)
+
+        expectThat(shutdown.handle(Timestamp.ZERO + 1.seconds, ShutdownEvent.Tick)).isEqualTo(emptyList())
+        expectThat(shutdown.handle(Timestamp.ZERO + 2.seconds, ShutdownEvent.Tick))
+            .isEqualTo(listOf(ShutdownAction.CloseIdle(1.seconds)))
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -186,6 +186,10 @@
                 callerServer.closeIdleConnections(action.idleFor)
             }
 
+            is ShutdownAction.EndRequests -> {
+                error("this instance has no grace period")
+            }
+
             is ShutdownAction.Exit -> {
                 EventLog.info("instance stopped", "instance" to settings.instance)
                 onStopped()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
@@ -29,6 +29,10 @@
     val stoppingFor: Duration?
         @Synchronized get() = stateMachine.stoppingFor(monotonicNow())
 
+    /** The time until requests in flight are ended; null before the shutdown or if it has no limit. */
+    val timeLeft: Duration?
+        @Synchronized get() = stateMachine.timeLeft(monotonicNow())
+
     /** The number of requests in flight, including those that have not arrived completely. */
     val requestsInFlight: Int
         @Synchronized get() = stateMachine.requestsInFlight
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -45,7 +45,7 @@
     public val timers: TimerService = TimerService(group.next())
     private val context = RelayContext(settings, http, timers, metrics)
     private val shutdown = ShutdownCoordinator(settings.shutdown, timers, ::perform)
-    private val frontEnd = RelayFrontEnd(context) { shutdown.stoppingFor }
+    private val frontEnd = RelayFrontEnd(context, shutdown, settings.lateRequests)
     private val callers =
         HttpServer(group, serverSettings(null), observer = CallerObserver(), handler = frontEnd::onRequest)
     private val readiness = HttpServer(group) { frontEnd.readiness(it, isReady) }
@@ -113,6 +113,7 @@
         )
         if (!isNewer) return
         callers.settings = serverSettings(configuration)
+        context.durations.retain(configuration.routeNames, configuration.serviceIds)
         frontEnd.onStateChanged()
     }
 
@@ -229,6 +230,11 @@
                 callers.closeIdleConnections(action.idleFor)
             }
 
+            ShutdownAction.EndRequests -> {
+                EventLog.warn("requests are ended before the process is killed", *loadFields())
+                frontEnd.endRequests()
+            }
+
             ShutdownAction.Exit -> {
                 EventLog.info("instance stopped", *loadFields())
                 onStopped()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
@@ -9,6 +9,9 @@
     const val BAD_REQUEST = 400
     const val UNAUTHORIZED = 401
     const val NOT_FOUND = 404
+
+    /** The reason of answers to requests that the instance cannot finish before it is killed. */
+    const val STOPPING = "stopping"
     private const val UNAVAILABLE = 503
     private const val RETRY_AFTER = "Retry-After"
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -3,6 +3,7 @@
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.placement.PathFinder
 import oriolespindle.core.placement.PathLoad
+import oriolespindle.core.relay.AnswerDurations
 import oriolespindle.core.relay.AttemptPolicy
 import oriolespindle.core.relay.ConcurrencyLimits
 import oriolespindle.core.relay.ConfigurationHolder
@@ -39,6 +40,7 @@
     val paces = EndpointPaces()
     val concurrency = ConcurrencyLimits()
     val refusalSharing = RefusalSharing()
+    val durations = AnswerDurations()
 
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
@@ -54,6 +56,9 @@
     /** Whether both the configuration and the endpoints have been received. */
     val isInitialized: Boolean get() = configuration.current != null && directory.isInitialized
 
+    /** The requests in progress. */
+    val sessions = LinkedHashSet<RelaySession>()
+
     /** The streams in progress. */
     val streams = LinkedHashSet<StreamSession>()
     lateinit var engines: EngineCalls
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -2,6 +2,8 @@
 
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
+import oriolespindle.core.lifecycle.LateRequestPolicy
+import oriolespindle.core.lifecycle.LateRequestSettings
 import oriolespindle.core.relay.RelayConfiguration
 import oriolespindle.core.relay.Route
 import oriolespindle.core.relay.RouteKind
@@ -9,6 +11,7 @@
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.HttpAnswer
 import oriolespindle.router.http.ServerExchange
+import oriolespindle.router.lifecycle.ShutdownCoordinator
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
 import kotlin.time.Duration
@@ -17,9 +20,10 @@
 /** Checks requests of callers against the configuration and starts a session for each allowed one. */
 internal class RelayFrontEnd(
     private val context: RelayContext,
-    /** Returns the time since the shutdown was requested; null before. */
-    private val stoppingFor: () -> Duration?,
+    private val shutdown: ShutdownCoordinator,
+    lateRequests: LateRequestSettings,
 ) {
+    private val lateRequestPolicy = LateRequestPolicy(lateRequests)
     private val startup = StartupQueue(context.timers, context.times.maxStartupWait, ::refuseAtStart, ::serve)
 
     /** Handles a complete request of a caller. */
@@ -32,6 +36,12 @@
         if (context.isInitialized) startup.release()
     }
 
+    /** Ends all requests, since the process is about to be killed. */
+    fun endRequests() {
+        startup.refuseAll()
+        context.sessions.toList().forEach { it.onInstanceStops() }
+    }
+
     private fun refuseAtStart(exchange: ServerExchange) {
         context.metrics.onRefused("configuration_missing")
         exchange.respond(RelayAnswers.refusal("configuration_missing", context.times.retryAfterStart))
@@ -42,7 +52,6 @@
         arrivedAt: Timestamp,
     ) {
         val configuration = checkNotNull(context.configuration.current) { "requests wait for the configuration" }
-        stoppingFor()?.let { logLateArrival(exchange, it) }
         val route = configuration.route(exchange.header("Host").orEmpty(), exchange.path)
         if (route == null) {
             deny(exchange, RelayAnswers.NOT_FOUND, "unknown_route", configuration)
@@ -85,24 +94,42 @@
                 dropKey = configuration.requiresKeys,
                 arrivedAt = arrivedAt,
                 expiry = arrivedAt + minOf(callerTimeout ?: route.timeout, route.timeout),
+                estimatedTokens = exchange.header(context.names.estimatedTokens)?.trim()?.toIntOrNull(),
             )
         context.budgets.onRequest(monotonicNow(), service.id)
+        if (shutdown.stoppingFor?.let { acceptsLate(request, it) } == false) {
+            context.metrics.onRefused(RelayAnswers.STOPPING)
+            exchange.respond(RelayAnswers.refusal(RelayAnswers.STOPPING, RETRY_ELSEWHERE_AFTER))
+            return
+        }
         val isStream = service.model != null || route.kind == RouteKind.STREAM
         val session =
             if (isStream) StreamSession(context, request, service.model) else CallSession(context, request)
         session.start()
     }
 
-    private fun logLateArrival(
-        exchange: ServerExchange,
+    /** Returns whether [request], which arrives [stoppingFor] after the shutdown was requested, is served. */
+    private fun acceptsLate(
+        request: RelayRequest,
         stoppingFor: Duration,
-    ) = EventLog.info(
-        "request arrived during the shutdown",
-        "request" to exchange.header(context.names.requestId),
-        "stopping_ms" to stoppingFor.inWholeMilliseconds,
-        "connection_ms" to exchange.connectionAge.inWholeMilliseconds,
-        "connection_requests" to exchange.requestNumber,
-    )
+    ): Boolean {
+        val timeLeft = shutdown.timeLeft
+        val expected = context.durations.expected(request.route.name, request.service.id, request.estimatedTokens)
+        val isAccepted = lateRequestPolicy.accepts(stoppingFor, timeLeft, expected)
+        EventLog.info(
+            "request arrived during the shutdown",
+            "request" to request.id,
+            "route" to request.route.name,
+            "accepted" to isAccepted,
+            "stopping_ms" to stoppingFor.inWholeMilliseconds,
+            "left_ms" to timeLeft?.inWholeMilliseconds,
+            "median_ms" to expected?.median?.inWholeMilliseconds,
+            "longest_ms" to expected?.longest?.inWholeMilliseconds,
+            "connection_ms" to request.exchange.connectionAge.inWholeMilliseconds,
+            "connection_requests" to request.exchange.requestNumber,
+        )
+        return isAccepted
+    }
 
     private fun key(exchange: ServerExchange): String? {
         val authorization = exchange.header("Authorization") ?: return null
@@ -145,5 +172,8 @@
         const val OK = 200
         const val UNAVAILABLE = 503
         const val METRICS_PATH = "/metrics"
+
+        /** `Retry-After` of requests that another instance can serve at once. */
+        val RETRY_ELSEWHERE_AFTER = Duration.ZERO
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -40,6 +40,7 @@
     /** Starts the first attempt, or refuses the request if its deadline has passed. */
     fun start() {
         exchange.onClosed = ::onCallerDisconnected
+        context.sessions += this
         val remaining = request.expiry - monotonicNow()
         if (remaining <= Duration.ZERO) {
             refuse(reason = "deadline_passed", retryAfter = null)
@@ -212,7 +213,7 @@
         retryAfter: Duration?,
     ) {
         context.metrics.onRefused(reason)
-        end("refused", reason)
+        end(REFUSED, reason)
         exchange.respond(RelayAnswers.refusal(reason, retryAfter))
     }
 
@@ -239,12 +240,16 @@
     ) {
         if (ended) return
         ended = true
+        context.sessions -= this
         val endpoint = receiver
         stopWatching()
         expiryTimer?.cancel(false)
         onAttemptEnded()
         val duration = monotonicNow() - request.arrivedAt
         context.metrics.onRequestEnded(outcome, duration)
+        if (outcome != REFUSED && outcome != LEFT) {
+            context.durations.onEnded(request.route.name, request.service.id, duration, request.estimatedTokens)
+        }
         EventLog.info(
             "request ended",
             "request" to request.id,
@@ -260,25 +265,38 @@
         )
     }
 
-    private fun onExpired() {
+    private fun onExpired() = endWithoutAnswer("timeout", GATEWAY_TIMEOUT, retryAfter = null)
+
+    /** Ends the request, since the process is about to be killed. */
+    fun onInstanceStops() {
+        if (!ended) endWithoutAnswer(RelayAnswers.STOPPING, BAD_GATEWAY, retryAfter = Duration.ZERO)
+    }
+
+    private fun endWithoutAnswer(
+        reason: String,
+        statusIfSent: Int,
+        retryAfter: Duration?,
+    ) {
         val sent = history.mayHaveRun || call?.sent == true
         abandonCall()
         when {
-            answerBegun -> abort("timeout")
-            sent -> fail(GATEWAY_TIMEOUT, "timeout")
-            else -> refuse("timeout", retryAfter = null)
+            answerBegun -> abort(reason)
+            sent -> fail(statusIfSent, reason)
+            else -> refuse(reason, retryAfter)
         }
     }
 
     private fun onCallerDisconnected() {
         if (ended) return
         abandonCall()
-        end("left", "caller closed the connection")
+        end(LEFT, "caller closed the connection")
     }
 
     protected fun elapsed(since: Timestamp): Duration = monotonicNow() - since
 
     protected companion object {
+        private const val REFUSED = "refused"
+        private const val LEFT = "left"
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val MISDIRECTED = 421
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -2,6 +2,7 @@
 
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.lifecycle.LateRequestSettings
 import oriolespindle.core.lifecycle.ShutdownSettings
 import oriolespindle.core.relay.DirectorySettings
 import oriolespindle.core.relay.ServiceBudgetSettings
@@ -31,6 +32,7 @@
     public val shutdown: ShutdownSettings,
     public val times: RelayTimes = RelayTimes(),
     public val directory: DirectorySettings = DirectorySettings(),
+    public val lateRequests: LateRequestSettings = LateRequestSettings(),
 )
 
 /** Timeouts and delays of the relay. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StartupQueue.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StartupQueue.kt
@@ -27,6 +27,13 @@
         timers.after(maxWait) { if (waiting.remove(exchange) != null) refuse(exchange) }
     }
 
+    /** Refuses all requests that are still waiting. */
+    fun refuseAll() {
+        val refused = waiting.keys.toList()
+        waiting.clear()
+        refused.forEach(refuse)
+    }
+
     /** Serves all requests that are still waiting, in the order of their arrival. */
     fun release() {
         val released = waiting.toMap()
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -8,6 +8,7 @@
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.lifecycle.LateRequestSettings
 import oriolespindle.core.lifecycle.ShutdownSettings
 import oriolespindle.core.placement.Accelerator
 import oriolespindle.core.placement.LayerOrder
@@ -30,7 +31,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A relay on loopback that forwards to scripted endpoints. */
-internal class RelayFixture : AutoCloseable {
+internal class RelayFixture(
+    private val shutdown: ShutdownSettings =
+        ShutdownSettings(100.milliseconds, 50.milliseconds, 200.milliseconds, 50.milliseconds),
+) : AutoCloseable {
     private val callers = freeAddress()
     val readiness: Address = freeAddress()
 
@@ -109,8 +113,9 @@
             headerNames = names,
             budgets = ServiceBudgetSettings(ratio = 0.2, burst = 1_000),
             maxConnections = 100,
-            shutdown = ShutdownSettings(100.milliseconds, 50.milliseconds, 200.milliseconds, 50.milliseconds),
+            shutdown = shutdown,
             times = RelayTimes(),
+            lateRequests = LateRequestSettings(redirectedAfter = shutdown.unreadyFor),
         )
 
     override fun close() = relay.close()
@@ -165,6 +170,7 @@
                 faultyEndpoint = "Faulty",
                 path = "Path",
                 tokens = "Tokens",
+                estimatedTokens = "Estimated-Tokens",
                 reserved = setOf("Reserved"),
             )
 
