Leave an endpoint alone once one of its answers says that it leaves

What callers would see: a server that leaves now says so in each answer, and a request sent to it later than the drain limit after such an answer was passed on breaks that limit. No code read the header, so requests went on until the registration told the same, which some servers never write, and all the while the store is down.

Cause: the directory knew one source of leaving, the registration. An answer is a second one, seen by this instance alone. It is read at the head of every answer in AnswerObserver: of relayed requests whatever their status, of reports and orders, and of surplus answers that are skipped. The first kinds count for the process that the request was sent to; a skipped one counts for the process to which the connection was opened, since a kept connection may still carry what a former process at the address wrote. The directory sets the flag that a registration would set: selection, paths, the check before the first byte and the placement follow it already. It holds for this process, also when it is listed again without the flag and while the store is down, until its registration is removed. GatedEngines asks once more before an order is sent, since reading the count of orders takes a round trip.

The header is passed on to callers like the other headers of an answer. It changes neither status, body nor signature.

Evidence: with the names and the plumbing in place and the directory as before, LeavingEndpointTest failed for a success, a refusal, a failure, a stream in progress and an answer to another request: each printed "Expect that [two requests]: has size 1, found 2". LeavingAnswerTest failed with "Expect that [1]: is empty" and "Expect that false: is true"; GatedEnginesTest with "Expect that ACCEPTED: is equal to REJECTED". They pass now. The test of the former process at an address guards the new code and could not fail before.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -39,7 +39,8 @@
  * return, the endpoint may as well have left, so it stays in use for [DirectorySettings.removalTimeout] at most.
  *
  * Of several registrations at one address only the last started process can answer, so the others are not used even if
- * they are still registered. Failures and refusals put an endpoint into an exponential backoff. Progress of a request
+ * they are still registered. An endpoint that leaves receives no more requests, whether its registration or one of its
+ * answers says so. Failures and refusals put an endpoint into an exponential backoff. Progress of a request
  * that was sent before a refusal does not end the refusal's backoff, since an endpoint that leaves finishes its earlier
  * requests, too.
  */
@@ -201,6 +202,22 @@
         }
     }
 
+    /**
+     * Records that an answer of [endpoint] says that its process leaves; returns whether that was unknown.
+     *
+     * Like a registration with the flag, it holds for this process until its registration is removed.
+     */
+    public fun onLeaving(endpoint: RelayEndpoint): Boolean {
+        val entry = entryOf(endpoint) ?: return false
+        if (entry.endpoint.isLeaving) return false
+        entry.endpoint = entry.endpoint.copy(isLeaving = true)
+        return true
+    }
+
+    /** Returns the entry of this process of [endpoint], or null if it is not registered. */
+    private fun entryOf(endpoint: RelayEndpoint): Entry? =
+        entries[endpoint.id]?.takeIf { it.endpoint.startedAt == endpoint.startedAt }
+
     /** Removes [endpoint], because another process uses its address and the registration is out of date. */
     public fun onReplaced(endpoint: EndpointId) {
         entriesByService = null
@@ -215,9 +232,8 @@
         now: Timestamp,
         endpoint: RelayEndpoint,
     ): Boolean {
-        val entry = entries[endpoint.id] ?: return false
-        val isSameProcess = entry.endpoint.startedAt == endpoint.startedAt
-        return isSameProcess && !entry.endpoint.isLeaving && entry.lapsedUntil?.let { now < it } != false
+        val entry = entryOf(endpoint) ?: return false
+        return !entry.endpoint.isLeaving && entry.lapsedUntil?.let { now < it } != false
     }
 
     /** Returns the registered endpoint at [address], or null; if there are several, the one that started last. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -145,6 +145,10 @@
 ) : ChannelInboundHandlerAdapter() {
     private var current: ClientCall? = null
     private var isAnswer: (HttpHeaders) -> Boolean = { true }
+    private var onHead: (ClientEvent.Head) -> Unit = {}
+
+    /** [ClientRequest.onHead] of the request that opened the connection. */
+    private var onSkippedHead: ((ClientEvent.Head) -> Unit)? = null
     private var requestWritten: ChannelFuture? = null
     private var keepAlive = false
     private var keepAliveTimeout: Duration? = null
@@ -161,10 +165,13 @@
         call: ClientCall,
         message: FullHttpRequest,
         isAnswer: (HttpHeaders) -> Boolean,
+        onHead: (ClientEvent.Head) -> Unit,
     ) {
         current = call
         skippedBytes = 0
         this.isAnswer = isAnswer
+        this.onHead = onHead
+        if (onSkippedHead == null) onSkippedHead = onHead
         requestWritten = ctx.channel().writeAndFlush(message)
     }
 
@@ -190,14 +197,17 @@
             return
         }
         if (message is HttpResponse) isSkipped = message.status().codeClass() == INTERIM || !isAnswer(message.headers())
+        val head = (message as? HttpResponse)?.let { ClientEvent.Head(it.status().code(), it.headers()) }
         if (isSkipped) {
+            head?.let { onSkippedHead?.invoke(it) }
             skip(ctx, call, message)
             return
         }
-        if (message is HttpResponse) {
+        if (message is HttpResponse && head != null) {
             keepAlive = HttpUtil.isKeepAlive(message)
             keepAliveTimeout = keepAliveTimeout(message.headers())
-            call.deliver(ClientEvent.Head(message.status().code(), message.headers()))
+            onHead(head)
+            call.deliver(head)
         }
         if (message is HttpContent && message.content().isReadable) {
             val bytes = ByteArray(message.content().readableBytes())
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
@@ -63,6 +63,8 @@
  *   byte.
  * @property isAnswer returns whether headers are of the response to this request; a response with other headers belongs
  *   to an earlier request and is skipped.
+ * @property onHead called with the head of the response, and with those of skipped responses on the connection if this
+ *   request opened it: they are of the same process, even if another one is expected at the address by then.
  */
 public class ClientRequest(
     public val address: Address,
@@ -77,6 +79,7 @@
     public val notAfter: Timestamp? = null,
     public val isWanted: () -> Boolean = { true },
     public val isAnswer: (HttpHeaders) -> Boolean = { true },
+    public val onHead: (ClientEvent.Head) -> Unit = {},
 )
 
 /**
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -5,11 +5,13 @@
 import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.RequestId
+import oriolespindle.core.lifecycle.LeavingSource
 import oriolespindle.core.lifecycle.ShutdownAction
 import oriolespindle.core.relay.RegistrationChange
 import oriolespindle.core.relay.RelayConfiguration
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.router.http.Address
+import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.http.ConnectionObserver
 import oriolespindle.router.http.HttpClient
 import oriolespindle.router.http.HttpClientSettings
@@ -63,7 +65,7 @@
         engines: EngineCalls,
         objects: SharedObjects,
     ) {
-        context.engines = engines
+        context.engines = GatedEngines(engines, context.directory)
         context.pacePoller.start()
         registerGauges()
         callers.bind(settings.callers)
@@ -151,6 +153,12 @@
         logChange(id, context.directory.remove(monotonicNow(), id), known)
     }
 
+    /** Called with the [head] of each answer to a control call to [endpoint]; relayed requests report theirs. */
+    public fun onControlAnswer(
+        endpoint: RelayEndpoint,
+        head: ClientEvent.Head,
+    ): Unit = context.answers.onHead(endpoint, head)
+
     /** Logs a change that decides whether an endpoint is used; [revision] is that of its last registration. */
     private fun logChange(
         id: EndpointId,
@@ -169,6 +177,7 @@
         EventLog.info(
             message,
             "endpoint" to id,
+            "source" to LeavingSource.PLATFORM.name.lowercase(),
             "revision" to revision,
             "store_age_ms" to context.endpointContact.age?.inWholeMilliseconds,
         )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -29,6 +29,7 @@
     val headers = RelayHeaders(names)
     val configuration = ConfigurationHolder()
     val directory = EndpointDirectory(settings.directory)
+    val answers = AnswerObserver(names, directory)
     val configurationContact = StoreContact()
     val endpointContact = StoreContact()
     val budgets = ServiceBudgets(settings.budgets, startedAt = monotonicNow())
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
@@ -14,6 +14,8 @@
     public val signature: String,
     /** Present in the answer when the endpoint did not run the request. */
     public val notExecuted: String,
+    /** `1` in any answer of an endpoint's process that leaves. */
+    public val leaving: String,
     /** The address of the endpoint on the path that caused a refusal. */
     public val faultyEndpoint: String,
     /** The path through the endpoints that hold the model's layers. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -98,6 +98,7 @@
                 notAfter = request.expiry,
                 isWanted = { receivers.all { context.directory.isInUse(monotonicNow(), it) } },
                 isAnswer = { isAnswer(it.get(names.requestId)) },
+                onHead = { context.answers.onHead(endpoint, it) },
             )
         var current: ClientCall? = null
         current =
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -162,6 +162,7 @@
                 expectedEndpoint = "Expected",
                 signature = "Signed",
                 notExecuted = "Not-Run",
+                leaving = "Leaving",
                 faultyEndpoint = "Faulty",
                 path = "Path",
                 tokens = "Tokens",
@@ -256,6 +257,12 @@
         socket.getOutputStream().write("$method $path HTTP/1.1\r\n$head$length\r\n$body".toByteArray())
     }
 
+    /** Waits for the first bytes of the answer. */
+    fun readSome() {
+        socket.soTimeout = READ_TIMEOUT_MILLIS
+        socket.getInputStream().read(ByteArray(READ_BUFFER_BYTES))
+    }
+
     fun readAll(): RawAnswer {
         socket.soTimeout = READ_TIMEOUT_MILLIS
         return RawAnswer(
