Replace the layers of an engine that leaves while it loads

What callers would see: a zone without some layers for up to the time of a planned load. An engine that had an order to load layers and then began to leave went on counting as their future holder until its plan expired, so that no other engine was told to load them.

Cause: a planned range came before the check that the endpoint leaves, which only covered ranges that are already held. The check now covers both.

Evidence: the new test of LayerPlacerTest gives a plan to each engine of a fleet in turn and lets it leave.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -106,7 +106,7 @@
     private fun assignedLayers(
         endpoint: RelayEndpoint,
         planned: Map<EndpointId, LayerRange>,
-    ): LayerRange? = planned[endpoint.id] ?: endpoint.layers?.takeUnless { endpoint.isLeaving }
+    ): LayerRange? = (planned[endpoint.id] ?: endpoint.layers).takeUnless { endpoint.isLeaving }
 
     /** Returns how many layers each endpoint should hold so that all have room for the same number of requests. */
     private fun layerCounts(
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
@@ -163,4 +163,18 @@
 
         expectThat(given.none { it.endpoint.id == leaving.id }).isTrue()
     }
+
+    @Test
+    fun `guards against an endpoint that begins to leave while it loads counting as a holder`() {
+        val placed = ModelFleet.placed()
+        val orderCounts =
+            placed.map { holder ->
+                val loading = mapOf(holder.id to checkNotNull(holder.layers))
+                val now = placed.map { if (it.id == holder.id) it.copy(isLeaving = true) else it }
+                expectThat(placer.orders(model, now, loading)).isEqualTo(orders(now))
+                orders(now).size
+            }
+
+        expectThat(orderCounts.max()).isGreaterThan(0)
+    }
 }
