Leave an endpoint alone for as long as its Retry-After asks

What callers would see: a server that answers 503 with Retry-After wants nothing from that instance for so long, and more than two requests in that time break the budget for retries. The relay did not read the header: streams came back after its own backoff of 0.1 to 1 s, calls at once, and a begun stream tried to resume every 0.1 to 0.4 s.

The head of every 503 is read in AnswerObserver; the directory keeps the end of the pause beside its backoffs. Until then the endpoint is not selected, is in no path, and the check before the first byte fails, which covers requests that wait for a connection. Reports and orders are requests as well and are held back by GatedEngines: an order can wait as long as the engine asks, and a stream whose engine is not asked for a report falls back on the longest gap. No success ends a pause, since it may belong to an earlier request; a shorter pause does not replace a longer one. It binds the endpoint that answered, also if it blames another one, which only gets the usual backoff; it is not shared, because the endpoint speaks to this instance alone. Pauses end with the process.

A value that is no decimal number (a date, NaN, a negative one) is ignored with a log line; one above 60 s counts as 60 s, so that a wrong number cannot take an endpoint out for good.

If only paused endpoints could serve a request, it is refused at once with endpoints_paused, without the former repeated searches, and with the rest of the pause as Retry-After: 1 s at most, because other instances may have been asked for nothing, and up to half more by the request's id, so that the callers of one pause do not return at the same moment. A begun stream waits and is resumed afterwards.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -28,6 +28,8 @@
     public val maxRefusalBackoff: Duration = 1_000.milliseconds,
     /** The backoff after another endpoint reports one as lost; it is gone for good or restarts as a new process. */
     public val lostEndpointBackoff: Duration = 3_000.milliseconds,
+    /** The longest pause that an endpoint can ask for; a wrong number must not keep requests from it for long. */
+    public val maxRequestedPause: Duration = 60_000.milliseconds,
 )
 
 /**
@@ -42,7 +44,7 @@
  * they are still registered. An endpoint that leaves receives no more requests, whether its registration or one of its
  * answers says so. Failures and refusals put an endpoint into an exponential backoff. Progress of a request
  * that was sent before a refusal does not end the refusal's backoff, since an endpoint that leaves finishes its earlier
- * requests, too.
+ * requests, too. An endpoint that asks for a pause receives nothing until its end, whatever happens meanwhile.
  */
 public class EndpointDirectory(
     private val settings: DirectorySettings = DirectorySettings(),
@@ -55,7 +57,18 @@
         val refusalBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxRefusalBackoff)
         var refusedAt: Timestamp? = null
 
+        /** When the pause ends that the endpoint has asked for; null if it has asked for none. */
+        var pausedUntil: Timestamp? = null
+
+        fun isPaused(now: Timestamp): Boolean = pausedUntil?.let { now < it } ?: false
+
         fun isBackingOff(now: Timestamp): Boolean = failureBackoff.isActive(now) || refusalBackoff.isActive(now)
+
+        /** The time until neither a pause nor a backoff is active. */
+        fun availableIn(now: Timestamp): Duration {
+            val pause = pausedUntil?.let { it - now } ?: Duration.ZERO
+            return maxOf(pause, failureBackoff.remaining(now), refusalBackoff.remaining(now))
+        }
     }
 
     private val entries = HashMap<EndpointId, Entry>()
@@ -218,6 +231,28 @@
     private fun entryOf(endpoint: RelayEndpoint): Entry? =
         entries[endpoint.id]?.takeIf { it.endpoint.startedAt == endpoint.startedAt }
 
+    /**
+     * Keeps requests from this process of [endpoint] for [duration] from [now], since its answer asks for that.
+     *
+     * Returns the pause, which is [DirectorySettings.maxRequestedPause] at most. Successes do not end it, and a shorter
+     * one does not replace it.
+     */
+    public fun onPauseRequested(
+        now: Timestamp,
+        endpoint: RelayEndpoint,
+        duration: Duration,
+    ): Duration {
+        val pause = minOf(duration, settings.maxRequestedPause)
+        entryOf(endpoint)?.let { it.pausedUntil = maxOf(it.pausedUntil ?: now, now + pause) }
+        return pause
+    }
+
+    /** Returns whether [endpoint] has asked for a pause that is not over. */
+    public fun isPaused(
+        now: Timestamp,
+        endpoint: RelayEndpoint,
+    ): Boolean = entryOf(endpoint)?.isPaused(now) ?: false
+
     /** Removes [endpoint], because another process uses its address and the registration is out of date. */
     public fun onReplaced(endpoint: EndpointId) {
         entriesByService = null
@@ -227,13 +262,17 @@
     /** Returns the endpoint [id], or null if it is not registered. */
     public fun find(id: EndpointId): RelayEndpoint? = entries[id]?.endpoint
 
-    /** Returns whether requests may be sent to [endpoint], that is, to this process of it; backoffs do not count. */
+    /**
+     * Returns whether requests may be sent to [endpoint], that is, to this process of it.
+     *
+     * A pause that it has asked for counts, but a backoff does not.
+     */
     public fun isInUse(
         now: Timestamp,
         endpoint: RelayEndpoint,
     ): Boolean {
         val entry = entryOf(endpoint) ?: return false
-        return !entry.endpoint.isLeaving && entry.lapsedUntil?.let { now < it } != false
+        return !entry.endpoint.isLeaving && !entry.isPaused(now) && entry.lapsedUntil?.let { now < it } != false
     }
 
     /** Returns the registered endpoint at [address], or null; if there are several, the one that started last. */
@@ -255,9 +294,18 @@
         service: ServiceId,
     ): List<RelayEndpoint> =
         currentEntries(now, service)
-            .filter { !it.endpoint.isLeaving && !it.isBackingOff(now) }
+            .filter { !it.endpoint.isLeaving && !it.isPaused(now) && !it.isBackingOff(now) }
             .map { it.endpoint }
 
+    /** Returns the endpoints of [service] that have asked for a pause, with the time until each may be used again. */
+    public fun paused(
+        now: Timestamp,
+        service: ServiceId,
+    ): Map<RelayEndpoint, Duration> =
+        currentEntries(now, service)
+            .filter { !it.endpoint.isLeaving && it.isPaused(now) }
+            .associate { it.endpoint to it.availableIn(now) }
+
     private fun currentEntries(
         now: Timestamp,
         service: ServiceId,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ExponentialBackoff.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ExponentialBackoff.kt
@@ -13,6 +13,9 @@
 
     fun isActive(now: Timestamp): Boolean = endsAt?.let { now < it } ?: false
 
+    /** The time until the backoff ends; zero if none is active. */
+    fun remaining(now: Timestamp): Duration = endsAt?.let { maxOf(it - now, Duration.ZERO) } ?: Duration.ZERO
+
     /** Starts the next backoff at [now] unless one is active. */
     fun start(now: Timestamp) {
         if (isActive(now)) return
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/AnswerObserver.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/AnswerObserver.kt
@@ -4,7 +4,10 @@
 import oriolespindle.core.relay.EndpointDirectory
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.RetryAfter
 import oriolespindle.router.logging.EventLog
+import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
 
 /** Applies what endpoints tell about themselves in the heads of their answers, whatever the answers are. */
 internal class AnswerObserver(
@@ -26,9 +29,40 @@
                 "status" to head.status,
             )
         }
+        if (head.status == UNAVAILABLE) head.headers.get(RetryAfter.NAME)?.let { onRetryAfter(endpoint, head, it) }
+    }
+
+    private fun onRetryAfter(
+        endpoint: RelayEndpoint,
+        head: ClientEvent.Head,
+        value: String,
+    ) {
+        val requested = RetryAfter.parse(value)
+        val answerTo = head.headers.get(names.requestId)
+        if (requested == null) {
+            EventLog.warn(
+                "Retry-After of an endpoint ignored",
+                "endpoint" to endpoint.id,
+                "value" to value.take(MAX_LOGGED_CHARS),
+                "answer_to" to answerTo,
+            )
+            return
+        }
+        if (requested == Duration.ZERO) return
+        val pause = directory.onPauseRequested(monotonicNow(), endpoint, requested)
+        EventLog.info(
+            "endpoint asks for a pause",
+            "endpoint" to endpoint.id,
+            "started_at" to endpoint.startedAt,
+            "requested" to requested,
+            "pause_ms" to pause.inWholeMilliseconds,
+            "answer_to" to answerTo,
+        )
     }
 
     private companion object {
         const val LEAVES = "1"
+        const val UNAVAILABLE = 503
+        const val MAX_LOGGED_CHARS = 50
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -28,7 +28,7 @@
         val candidates = context.directory.usable(now, request.service.id).filter { mayReceive(it.id) }
         val chosen = context.selector.choose(now, candidates, avoid)
         if (chosen == null) {
-            onAttemptFailed(AttemptEnd.NotSent, "no_endpoint", endpoint = null)
+            onNoEndpoint("no_endpoint")
             return
         }
         head = null
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EngineCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EngineCalls.kt
@@ -30,6 +30,9 @@
 
     /** The engine did not answer. */
     public data object NoAnswer : StallReport
+
+    /** The engine was not asked, since it wants no calls for a time. */
+    public data object NotAsked : StallReport
 }
 
 /** Control calls to engines, in the platform's protocol; results are delivered on the event loop. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/GatedEngines.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/GatedEngines.kt
@@ -6,11 +6,14 @@
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
 
-/** Passes control calls on to [engines], except for those that an endpoint must not receive any more. */
+/**
+ * Passes control calls on to [engines], except for orders to endpoints that leave and for any call to an endpoint that
+ * has asked for a pause: reports and orders are requests, too, and none of them is worth more than an endpoint's rest.
+ */
 internal class GatedEngines(
     private val engines: EngineCalls,
     private val directory: EndpointDirectory,
-) : EngineCalls by engines {
+) : EngineCalls {
     override fun place(
         order: LayerOrder,
         acceptedOrders: Long,
@@ -24,4 +27,22 @@
             result(PlaceResult.REJECTED)
         }
     }
+
+    override fun acceptedOrders(
+        endpoint: RelayEndpoint,
+        result: (Long?) -> Unit,
+    ) = if (isPaused(endpoint)) result(null) else engines.acceptedOrders(endpoint, result)
+
+    override fun pace(
+        endpoint: RelayEndpoint,
+        result: (Double?) -> Unit,
+    ) = if (isPaused(endpoint)) result(null) else engines.pace(endpoint, result)
+
+    override fun stalledAt(
+        first: RelayEndpoint,
+        requestId: String,
+        result: (StallReport) -> Unit,
+    ) = if (isPaused(first)) result(StallReport.NotAsked) else engines.stalledAt(first, requestId, result)
+
+    private fun isPaused(endpoint: RelayEndpoint): Boolean = directory.isPaused(monotonicNow(), endpoint)
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -178,11 +178,46 @@
             AttemptDecision.Retry -> retry(reason)
             is AttemptDecision.RetryLater -> retryLater(decision.delay, reason)
             AttemptDecision.Deliver -> deliver()
-            is AttemptDecision.Refuse -> if (answerBegun) abort(reason) else refuse(reason, decision.retryAfter)
+            is AttemptDecision.Refuse -> if (answerBegun) abort(reason) else refuse(reason, retryAfter(decision))
             AttemptDecision.Fail -> if (answerBegun) abort(reason) else fail(BAD_GATEWAY, reason)
         }
     }
 
+    /** Ends an attempt without an endpoint; the request is refused at once if only paused endpoints could serve it. */
+    protected fun onNoEndpoint(reason: String) {
+        val pause = if (answerBegun || history.mayHaveRun) null else commonPause()
+        if (pause != null) {
+            refuse("endpoints_paused", spread(pause))
+        } else {
+            onAttemptFailed(AttemptEnd.NotSent, reason, endpoint = null)
+        }
+    }
+
+    /** Returns the time until requests can be served again, or null unless only paused endpoints could serve them. */
+    protected open fun commonPause(): Duration? {
+        val now = monotonicNow()
+        val service = request.service.id
+        return context.directory
+            .paused(now, service)
+            .values
+            .minOrNull()
+            ?.takeIf { context.directory.usable(now, service).isEmpty() }
+    }
+
+    private fun retryAfter(decision: AttemptDecision.Refuse): Duration =
+        commonPause()?.let(::spread) ?: decision.retryAfter
+
+    /**
+     * Returns a delay for the caller from the end of a [pause] on.
+     *
+     * It depends on the request's id, so that the callers of a pause do not all return at its end. It is bounded, since
+     * the pause concerns this instance alone and callers return to any.
+     */
+    private fun spread(pause: Duration): Duration {
+        val fraction = Math.floorMod(request.id.value.hashCode(), SPREAD_STEPS) / SPREAD_STEPS.toDouble()
+        return minOf(pause, context.times.maxRetryAfterPause) * (1 + MAX_SPREAD * fraction)
+    }
+
     private fun retry(reason: String) {
         context.metrics.onRetry(reason)
         startAttempt()
@@ -285,6 +320,8 @@
         const val MISDIRECTED = 421
         const val SUCCESS_FIRST = 200
         const val SUCCESS_LAST = 299
+        private const val SPREAD_STEPS = 1_000
+        private const val MAX_SPREAD = 0.5
 
         /** Maps a failure of the HTTP client; only a request that was never sent certainly did not run. */
         fun endOf(event: ClientEvent.Failed): AttemptEnd = if (event.sent) AttemptEnd.Unknown else AttemptEnd.NotSent
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -69,6 +69,12 @@
     public val minSilence: Duration = 150.milliseconds,
     /** `Retry-After` while all paths are at capacity; a stream ends every few dozen milliseconds. */
     public val retryAfterOverload: Duration = 250.milliseconds,
+    /**
+     * The longest pause that callers are told in `Retry-After` while the endpoints want no requests of this instance.
+     *
+     * Callers return to any instance, and another one may have been asked for no pause.
+     */
+    public val maxRetryAfterPause: Duration = 1.seconds,
     /** `Retry-After` while this instance has no configuration. */
     public val retryAfterStart: Duration = 1.seconds,
     /** How long a request waits for the first configuration and endpoints; about the time that a start needs. */
@@ -80,5 +86,6 @@
             "silentAfterObjectives=$silentAfterObjectives, firstEvent=$firstEventTimeout, " +
             "eventGap=$eventTimeout, askAgain=$stallReportInterval, patience=$maxEventGap, " +
             "quiet=$minSilence, retryAfterOverload=$retryAfterOverload, retryAfterStart=$retryAfterStart, " +
+            "retryAfterPause=$maxRetryAfterPause, " +
             "startupWait=$maxStartupWait)"
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -13,6 +13,7 @@
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
 
 /**
  * Relays a request whose answer is a stream of events, from a path of engines or from a plain service.
@@ -105,10 +106,21 @@
         if (hasPath && !history.mayHaveRun) {
             refuse("overloaded", context.times.retryAfterOverload)
         } else {
-            onAttemptFailed(AttemptEnd.NotSent, "no_path", endpoint = null)
+            onNoEndpoint("no_path")
         }
     }
 
+    /** For a model, the pause of the path that can be used if paused endpoints count as usable, and not otherwise. */
+    override fun commonPause(): Duration? {
+        val layout = model ?: return super.commonPause()
+        val now = monotonicNow()
+        val paused = context.directory.paused(now, request.service.id)
+        val usable = context.directory.usable(now, request.service.id)
+        if (paused.isEmpty() || context.paths.find(layout, usable, ::loadOf) != null) return null
+        val next = context.paths.find(layout, usable + paused.keys, ::loadOf) ?: return null
+        return next.parts.maxOf { paused[it.endpoint] ?: Duration.ZERO }
+    }
+
     override fun onAttemptEnded() {
         path?.let { context.load.onRequestEnded(it, tokens) }
         path = null
@@ -305,7 +317,7 @@
                 )
                 when (report) {
                     is StallReport.WaitsFor -> onLost(context.directory.findByAddress(report.address)?.id ?: target.id)
-                    StallReport.Alive -> Unit
+                    StallReport.Alive, StallReport.NotAsked -> Unit
                     StallReport.NoAnswer -> onLost(target.id)
                 }
             }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/GatedEnginesTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/GatedEnginesTest.kt
@@ -7,9 +7,12 @@
 import oriolespindle.core.placement.LayerOrder
 import oriolespindle.core.relay.EndpointDirectory
 import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.router.runtime.monotonicNow
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.seconds
 
 class GatedEnginesTest {
     private val directory = EndpointDirectory()
@@ -34,6 +37,20 @@
         expectThat(calls).containsExactly("place")
     }
 
+    @Test
+    fun `guards against control calls to an endpoint that asked for a pause`() {
+        directory.put(endpoint)
+        directory.onPauseRequested(monotonicNow(), endpoint, 30.seconds)
+        val results = ArrayList<Any?>()
+        results += place()
+        engines.acceptedOrders(endpoint) { results += it }
+        engines.pace(endpoint) { results += it }
+        engines.stalledAt(endpoint, "r1") { results += it }
+
+        expectThat(results.toList()).containsExactly(PlaceResult.REJECTED, null, null, StallReport.NotAsked)
+        expectThat(calls.toList()).isEmpty()
+    }
+
     private inner class RecordingEngines : EngineCalls {
         override fun place(
             order: LayerOrder,
