Have the relay report the ports that it binds, so that its tests reserve none

Cause, by reading: RelayFixture opened a socket on port 0, closed it and let the relay bind that port later. The port is an ephemeral one, so any connection or listener of any process could get it in between. Which socket had it is not known, and the moment between the two calls cannot be hit from a test, so there is no test of the collision itself.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RefusalChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RefusalChannel.kt
@@ -15,6 +15,7 @@
 import oriolespindle.core.relay.SharedRefusal
 import oriolespindle.router.http.Address
 import oriolespindle.router.logging.EventLog
+import java.net.InetSocketAddress
 
 /**
  * Exchanges [SharedRefusal]s with the other instances of the zone in datagrams.
@@ -37,9 +38,13 @@
     /** The addresses of the other instances. */
     var peers: List<Address> = emptyList()
 
-    /** Starts to receive datagrams at [address]; must not be called on the event loop. */
-    fun bind(address: Address) {
-        channel =
+    /**
+     * Starts to receive datagrams at [address]; must not be called on the event loop.
+     *
+     * Returns the address in use, with the port that the system chose for port 0.
+     */
+    fun bind(address: Address): Address {
+        val bound =
             Bootstrap()
                 .group(group)
                 .channel(NioDatagramChannel::class.java)
@@ -47,6 +52,8 @@
                 .bind(address.toSocketAddress())
                 .sync()
                 .channel()
+        channel = bound
+        return Address(address.host, (bound.localAddress() as InetSocketAddress).port)
     }
 
     /** Sends [refusal] once to each peer. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -58,18 +58,21 @@
     /** Whether this instance holds the placement lease and may order engines to load layers. */
     public val holdsPlacementLease: Boolean get() = placement?.holdsLease ?: false
 
-    /** Opens the listeners and becomes a candidate for the placement lease. */
+    /** Opens the listeners, becomes a candidate for the placement lease and returns the addresses in use. */
     public fun start(
         engines: EngineCalls,
         objects: SharedObjects,
-    ) {
+    ): RelayAddresses {
         context.engines = engines
         context.pacePoller.start()
         registerGauges()
-        callers.bind(settings.callers)
-        readiness.bind(settings.readiness)
+        val addresses =
+            RelayAddresses(
+                callers = callers.bind(settings.callers),
+                readiness = readiness.bind(settings.readiness),
+                refusals = settings.refusals?.let(refusals::bind),
+            )
         settings.metrics?.let { readiness.bind(it) }
-        settings.refusals?.let(refusals::bind)
         context.shareRefusal = refusals::send
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
@@ -79,9 +82,10 @@
             "instance started",
             "instance" to settings.instance,
             "zone" to settings.zone,
-            "callers" to settings.callers,
-            "readiness" to settings.readiness,
+            "callers" to addresses.callers,
+            "readiness" to addresses.readiness,
         )
+        return addresses
     }
 
     private fun registerGauges() {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
@@ -9,6 +9,7 @@
 import oriolespindle.core.limit.ShareMessage
 import oriolespindle.core.membership.Gossip
 import oriolespindle.core.membership.MemberRecord
+import oriolespindle.testkit.fleet.FreePorts
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
@@ -17,8 +18,6 @@
 import strikt.assertions.isTrue
 import java.io.DataInputStream
 import java.io.DataOutputStream
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -44,7 +43,7 @@
     private fun start(
         name: String,
         key: Int = 1,
-        port: Int = freePort(),
+        port: Int = FreePorts.take(),
     ): Node {
         val received = LinkedBlockingQueue<Pair<InstanceId, PeerMessage>>()
         val settings =
@@ -65,8 +64,6 @@
         return Node(transport, identity.instance, received, address)
     }
 
-    private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-
     private fun demand(number: Int) = PeerMessage.Demand(DemandReport(number.toLong(), emptyList()))
 
     private fun ping(node: Node) = PeerMessage.Ping(Gossip(MemberRecord(node.id, ZoneId("zone-a"), node.address), 1))
@@ -185,7 +182,7 @@
     @Test
     fun `the queue to an unreachable peer does not grow without bound`() {
         val a = start("a")
-        a.transport.connect(InstanceId("b"), "127.0.0.1:${freePort()}")
+        a.transport.connect(InstanceId("b"), "127.0.0.1:${FreePorts.take()}")
 
         val results = (1..1_000).map { a.transport.send(InstanceId("b"), demand(it)) }
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -20,8 +20,6 @@
 import oriolespindle.core.relay.RouteTarget
 import oriolespindle.core.relay.ServiceBudgetSettings
 import oriolespindle.router.http.Address
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
@@ -31,13 +29,12 @@
 
 /** A relay on loopback that forwards to scripted endpoints. */
 internal class RelayFixture : AutoCloseable {
-    private val callers = freeAddress()
-    val readiness: Address = freeAddress()
-
-    /** The UDP address where the relay receives shared refusals. */
-    val refusals: Address = freeAddress()
     val stopped = CountDownLatch(1)
     private val relay = Relay(settings()) { stopped.countDown() }
+    private val addresses = relay.start(FakeEngines(), UnavailableObjects)
+
+    /** The UDP address where the relay receives shared refusals. */
+    val refusals: Address = checkNotNull(addresses.refusals)
 
     /** The stall report that every engine returns. */
     @Volatile
@@ -47,7 +44,6 @@
     val paces: MutableMap<String, Double> = ConcurrentHashMap()
 
     init {
-        relay.start(FakeEngines(), UnavailableObjects)
         onLoop { relay.onInstanceCountChanged(all = 1, inZone = 1) }
     }
 
@@ -69,7 +65,7 @@
 
     fun shutDown() = onLoop { relay.shutDown() }
 
-    fun connect(): RawCaller = RawCaller(Socket(callers.host, callers.port))
+    fun connect(): RawCaller = RawCaller(Socket(addresses.callers.host, addresses.callers.port))
 
     /** Sends one request on a new connection and returns everything received until it closes. */
     fun call(
@@ -84,7 +80,7 @@
         }
 
     fun isReady(): Boolean =
-        RawCaller(Socket(readiness.host, readiness.port)).use { caller ->
+        RawCaller(Socket(addresses.readiness.host, addresses.readiness.port)).use { caller ->
             caller.send("GET", "/ready", mapOf("Connection" to "close"), "")
             caller.readAll().status == 200
         }
@@ -102,10 +98,10 @@
         RelaySettings(
             instance = InstanceId("i"),
             zone = ZoneId("z1"),
-            callers = callers,
-            readiness = readiness,
+            callers = anyPort,
+            readiness = anyPort,
             metrics = null,
-            refusals = refusals,
+            refusals = anyPort,
             headerNames = names,
             budgets = ServiceBudgetSettings(ratio = 0.2, burst = 1_000),
             maxConnections = 100,
@@ -154,6 +150,9 @@
     }
 
     companion object {
+        /** The system chooses a free port while it binds, so no other socket can have it. */
+        private val anyPort = Address("127.0.0.1", 0)
+
         val names =
             RelayHeaderNames(
                 requestId = "Request-Name",
@@ -203,9 +202,6 @@
             isPublic = isPublic,
             isResumable = isResumable,
         )
-
-        private fun freeAddress(): Address =
-            ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { Address("127.0.0.1", it.localPort) }
     }
 }
 
