Count a retry against its budget until its whole window has passed

What callers and servers would see: up to twice the retries that the budget allows in one window, for example a burst when a whole service resets its connections and another one 9.6 s later in a window of 10 s.

Cause: ServiceBudgets counts in 20 slots, the newest of which is incomplete, so that they cover between 19 and 20 twentieths of the window. A retry at the end of its slot was forgotten up to half a second too early, and its share of the budget was granted again.

Change: retries are counted over one slot more, that is over the whole window and up to a twentieth more. Requests are counted over the same slots as before, so that the budget never grows.

Evidence: ServiceBudgetsWindowTest takes all retries at a time and again 10 ms before the window ends, with a burst of 100.

▼ Expect that [80, 160, 160, 160, 160, 160, 160, 160, 160, 160, 80, 160, 160, 160, 160, 160, 160, 160, 160, 160]: ✗ all elements match: ▼ 160: ✗ is less than or equal to 100

Tests: ServiceBudgetsWindowTest, ServiceBudgetsRestartTest and AttemptPolicyTest, 18 passed.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ServiceBudgets.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/ServiceBudgets.kt
@@ -35,9 +35,12 @@
     private val startedAt: Timestamp,
 ) {
     private class Window {
-        val requests = IntArray(SLOTS)
-        val retries = IntArray(SLOTS)
+        val requests = IntArray(RETRY_SLOTS)
+        val retries = IntArray(RETRY_SLOTS)
         var slot = Long.MIN_VALUE
+
+        /** The requests of the newest [SLOTS] slots. */
+        val countedRequests: Int get() = requests.sum() - requests[Math.floorMod(slot - SLOTS, RETRY_SLOTS)]
     }
 
     private val windows = HashMap<ServiceId, Window>()
@@ -75,7 +78,7 @@
         service: ServiceId,
     ): Boolean {
         val window = currentWindow(now, service)
-        val allowed = settings.safety * settings.ratio * window.requests.sum() + burstShare(now)
+        val allowed = settings.safety * settings.ratio * window.countedRequests + burstShare(now)
         return window.retries.sum() + 1 <= allowed
     }
 
@@ -85,7 +88,7 @@
         return fraction * settings.burst / instanceCount
     }
 
-    private fun index(window: Window) = Math.floorMod(window.slot, SLOTS)
+    private fun index(window: Window) = Math.floorMod(window.slot, RETRY_SLOTS)
 
     private fun currentWindow(
         now: Timestamp,
@@ -94,9 +97,10 @@
         val window = windows.getOrPut(service) { Window() }
         val current = Math.floorDiv(now.nanos, slotNanos)
         if (current <= window.slot) return window
-        val passed = if (window.slot == Long.MIN_VALUE) SLOTS.toLong() else minOf(current - window.slot, SLOTS.toLong())
+        val slots = RETRY_SLOTS.toLong()
+        val passed = if (window.slot == Long.MIN_VALUE) slots else minOf(current - window.slot, slots)
         for (age in 0 until passed) {
-            val expiredSlot = Math.floorMod(current - age, SLOTS)
+            val expiredSlot = Math.floorMod(current - age, RETRY_SLOTS)
             window.requests[expiredSlot] = 0
             window.retries[expiredSlot] = 0
         }
@@ -106,5 +110,8 @@
 
     private companion object {
         const val SLOTS = 20
+
+        /** One more than [SLOTS], which cover less than the window while the newest slot is incomplete. */
+        const val RETRY_SLOTS = SLOTS + 1
     }
 }
