Take a refusal as "not run" only if it names the request

Callers would be told that a call or stream did not run, or it would run at a second endpoint, while the first one ran it: an endpoint that wrote an earlier refusal once more on a kept connection, without an id, was believed. An answer without the request's id was taken for its answer, and a refusal among these (503 and the like with the header for requests that did not run, or a 421) decided "not run"; a 421 also removed the endpoint from the directory until its next registration. The platform's servers echo the id in their answers.

A refusal without the request's id now leaves open whether the request ran (reason `unidentified_refusal`), and does not remove the endpoint. The connection is closed after any answer without the id, since the real one may still come: the next request on it would wait behind that one, and orders and reports, whose answers bear no id, could take it for theirs.

An answer with another id was skipped before, too.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -145,6 +145,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private var current: ClientCall? = null
     private var isAnswer: (HttpHeaders) -> Boolean = { true }
+    private var isReusableAfter: (HttpHeaders) -> Boolean = { true }
     private var requestWritten: ChannelFuture? = null
     private var keepAlive = false
     private var keepAliveTimeout: Duration? = null
@@ -155,16 +156,17 @@
     /** The bytes received for the current call that are no part of its response. */
     private var skippedBytes = 0L
 
-    /** Sends [message] for [call], whose response is the next one that [isAnswer] accepts. */
+    /** Sends [message], which encodes [request], for [call]; the next response that the request accepts is its own. */
     fun send(
         ctx: ChannelHandlerContext,
         call: ClientCall,
         message: FullHttpRequest,
-        isAnswer: (HttpHeaders) -> Boolean,
+        request: ClientRequest,
     ) {
         current = call
         skippedBytes = 0
-        this.isAnswer = isAnswer
+        isAnswer = request.isAnswer
+        isReusableAfter = request.isReusableAfter
         requestWritten = ctx.channel().writeAndFlush(message)
     }
 
@@ -195,7 +197,7 @@
             return
         }
         if (message is HttpResponse) {
-            keepAlive = HttpUtil.isKeepAlive(message)
+            keepAlive = HttpUtil.isKeepAlive(message) && isReusableAfter(message.headers())
             keepAliveTimeout = keepAliveTimeout(message.headers())
             call.deliver(ClientEvent.Head(message.status().code(), message.headers()))
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
@@ -63,6 +63,8 @@
  *   byte.
  * @property isAnswer returns whether headers are of the response to this request; a response with other headers belongs
  *   to an earlier request and is skipped.
+ * @property isReusableAfter returns whether another request may use the connection after a response with these headers;
+ *   one that may belong to an earlier request leaves the real one outstanding.
  */
 public class ClientRequest(
     public val address: Address,
@@ -77,6 +79,7 @@
     public val notAfter: Timestamp? = null,
     public val isWanted: () -> Boolean = { true },
     public val isAnswer: (HttpHeaders) -> Boolean = { true },
+    public val isReusableAfter: (HttpHeaders) -> Boolean = { true },
 )
 
 /**
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -180,7 +180,7 @@
             return
         }
         val ctx = channel.pipeline().context(ClientCallHandler::class.java)
-        (ctx.handler() as ClientCallHandler).send(ctx, call, encode(request), request.isAnswer)
+        (ctx.handler() as ClientCallHandler).send(ctx, call, encode(request), request)
     }
 
     private fun encode(request: ClientRequest): DefaultFullHttpRequest {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -86,12 +86,11 @@
 
     private fun onResponse(head: ClientEvent.Head) {
         val from = endpoint ?: return
-        val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
         context.directory.onSuccess(from.id, startedAt)
         val answer = body.toByteArray()
         when {
-            refused -> onRefused(head, from)
-            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", from.id)
+            isRefusal(head) -> onRefused(head, from)
+            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), from.id)
             head.status in SUCCESS_FIRST..SUCCESS_LAST || head.status < SERVER_ERROR -> deliver(head, answer)
             else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", from.id) { deliver(head, answer) }
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -66,7 +66,20 @@
 
     protected fun mayReceive(endpoint: EndpointId): Boolean = history.mayReceive(endpoint, request.route.maxAttempts)
 
-    protected fun isAnswer(answerId: String?): Boolean = answerId == null || answerId == request.id.value
+    /** Whether [headers] may be of the answer to this request; those that bear another id are of an earlier one. */
+    private fun isAnswer(headers: HttpHeaders): Boolean = !headers.contains(context.names.requestId) || bearsId(headers)
+
+    private fun bearsId(headers: HttpHeaders): Boolean = headers.get(context.names.requestId) == request.id.value
+
+    /** Whether [head] states that this request did not run; without its id, it may be about an earlier request. */
+    protected fun isRefusal(head: ClientEvent.Head): Boolean = statesNotRun(head) && bearsId(head.headers)
+
+    /** The reason for an attempt whose answer with [head] is not an endpoint's own answer to this request. */
+    protected fun unusableReason(head: ClientEvent.Head): String =
+        if (statesNotRun(head)) "unidentified_refusal" else "not_an_endpoint_answer"
+
+    private fun statesNotRun(head: ClientEvent.Head): Boolean =
+        head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
 
     /** Whether [headers] are of an endpoint's own answer to this request, with a body as the endpoint sent it. */
     protected fun isEndpointAnswer(headers: HttpHeaders): Boolean =
@@ -97,7 +110,8 @@
                 maxIdle = maxIdle,
                 notAfter = request.expiry,
                 isWanted = { receivers.all { context.directory.isInUse(monotonicNow(), it) } },
-                isAnswer = { isAnswer(it.get(names.requestId)) },
+                isAnswer = ::isAnswer,
+                isReusableAfter = ::bearsId,
             )
         var current: ClientCall? = null
         current =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -224,12 +224,11 @@
 
     private fun onCompleted(head: ClientEvent.Head) {
         val first = first ?: return
-        val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
         val failure = failureBody.toByteArray()
         when {
-            refused -> onRefused(head, first)
+            isRefusal(head) -> onRefused(head, first)
             isStream() -> onStreamEnded(first.id)
-            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
+            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id)
             answerBegun -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
             else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
         }
