Do not pass on a 503 that does not state that the request did not run

Callers would take an endpoint's 408, 429 or 503 for the promise that their request did not run, also where the endpoint did not make it: such an answer with the endpoint's signature was passed on unchanged. On the platform only an answer with the header for requests that did not run, or a 421, states this. These answers now leave open whether the request ran (reason `unconfirmed_refusal`), so a request that may be repeated is tried elsewhere within its attempts and the others are answered 502.

RepeatedRefusalTest failed without this change: 503 in place of 502.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -90,7 +90,7 @@
         val answer = body.toByteArray()
         when {
             isRefusal(head) -> onRefused(head, from)
-            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), from.id)
+            !isDeliverable(head) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), from.id)
             head.status in SUCCESS_FIRST..SUCCESS_LAST || head.status < SERVER_ERROR -> deliver(head, answer)
             else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", from.id) { deliver(head, answer) }
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -76,9 +76,21 @@
     /** Whether [head] states that this request did not run; without its id, it may be about an earlier request. */
     protected fun isRefusal(head: ClientEvent.Head): Boolean = statesNotRun(head) && bearsId(head.headers)
 
-    /** The reason for an attempt whose answer with [head] is not an endpoint's own answer to this request. */
+    /**
+     * Whether an answer with [head] that is no refusal may be passed on.
+     *
+     * Some statuses tell callers that the request did not run, which the endpoint did not state here.
+     */
+    protected fun isDeliverable(head: ClientEvent.Head): Boolean =
+        isEndpointAnswer(head.headers) && head.status !in NOT_RUN_STATUSES
+
+    /** The reason for an attempt whose answer with [head] is not deliverable. */
     protected fun unusableReason(head: ClientEvent.Head): String =
-        if (statesNotRun(head)) "unidentified_refusal" else "not_an_endpoint_answer"
+        when {
+            statesNotRun(head) -> "unidentified_refusal"
+            isEndpointAnswer(head.headers) -> "unconfirmed_refusal"
+            else -> "not_an_endpoint_answer"
+        }
 
     private fun statesNotRun(head: ClientEvent.Head): Boolean =
         head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
@@ -299,6 +311,9 @@
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val MISDIRECTED = 421
+
+        /** The statuses by which callers know that a request did not run and will not run. */
+        val NOT_RUN_STATUSES = setOf(408, MISDIRECTED, 429, 503)
         const val SUCCESS_FIRST = 200
         const val SUCCESS_LAST = 299
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -228,7 +228,7 @@
         when {
             isRefusal(head) -> onRefused(head, first)
             isStream() -> onStreamEnded(first.id)
-            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id)
+            !isDeliverable(head) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id)
             answerBegun -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
             else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
         }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RepeatedRefusalTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RepeatedRefusalTest.kt
@@ -103,6 +103,16 @@
         expectThat(first.requests).hasSize(LAST_ATTEMPT)
     }
 
+    @Test
+    fun `does not pass on a 503 that does not state that the call did not run`() {
+        serve(
+            RouteKind.NON_IDEMPOTENT,
+            endpoint("e1") { request, _ -> write(Scripts.whole(request, "", status = "503 Service Unavailable")) },
+        )
+
+        expectThat(relay.call().status).isEqualTo(502)
+    }
+
     private companion object {
         const val CLOSE_TIMEOUT_MILLIS = 1_000
         const val POLL_TIMEOUT_SECONDS = 5L
