Take an engine's refusal as "not run" only if it names the attempt

The same fault on the product's own interface: the first attempt of a completion uses a kept connection, and the refusal of an engine named neither request nor attempt, unlike the lines of its streams. A refusal that was repeated there would have counted as one of the next completion, which the engine then ran: it was sent elsewhere, or its caller was told that it did not run.

Refusals now name the request and the attempt (docs/design.md, section 5; the engines of the test kit do so). One that names another attempt, or none, leaves open whether this one ran. Later attempts have numbers of their own and use new connections, so a copy cannot bear their names.

EngineStreamTest failed without this change: `Refused(reason=busy)` in place of `BadAnswer(status=503)`. EngineFakeTest, EndpointProcessTest, RecoveryProcessTest and WholePathProcessTest pass with it.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/endpoint/EngineMessages.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/endpoint/EngineMessages.kt
@@ -41,9 +41,11 @@
     val endpoint: String? = null,
 )
 
-/** The answer of an engine that did not run a request. */
+/** The answer of an engine that did not run [attempt] of [request]. */
 @Serializable
 internal data class EngineRefusal(
+    val request: String? = null,
+    val attempt: Int? = null,
     val outcome: String,
     val reason: String,
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/endpoint/EngineStream.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/endpoint/EngineStream.kt
@@ -19,7 +19,7 @@
         val events: List<StreamEvent>,
     ) : EngineSignal
 
-    /** A complete answer stating that the request did not run; [reason] is `draining`, `busy` or `bad_chain`. */
+    /** A complete answer stating that this attempt did not run; [reason] is `draining`, `busy` or `bad_chain`. */
     data class Refused(
         val reason: String,
     ) : EngineSignal
@@ -100,10 +100,13 @@
             } catch (_: SerializationException) {
                 null
             }
-        val notRun = status == STATUS_UNAVAILABLE && answer?.outcome == "not_run"
+        val notRun = status == STATUS_UNAVAILABLE && answer?.outcome == "not_run" && isOwn(answer)
         return if (notRun) EngineSignal.Refused(answer.reason) else EngineSignal.BadAnswer(status)
     }
 
+    private fun isOwn(answer: EngineRefusal): Boolean =
+        answer.request == request.value && answer.attempt == attempt.value
+
     private fun parseLine(text: String): StreamEvent {
         val line =
             try {
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineFake.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineFake.kt
@@ -98,7 +98,7 @@
         request: PipelineRequest,
     ) {
         val refusal = refusal(request)
-        if (refusal != null) return refuse(exchange, refusal)
+        if (refusal != null) return refuse(exchange, request, refusal)
         val stage = request.stages.first()
         if (stage.cache == CacheUse.IMPORT) import(exchange, request, stage) else run(exchange, request)
     }
@@ -125,9 +125,11 @@
 
     private fun refuse(
         exchange: HttpExchange,
+        request: PipelineRequest,
         reason: String,
     ) {
-        exchange.reply(503, Refusal("not_run", reason, settings.endpoint), NOT_RUN_HEADER)
+        val refusal = Refusal(request.request, request.attempt, "not_run", reason, settings.endpoint)
+        exchange.reply(503, refusal, NOT_RUN_HEADER)
     }
 
     private fun import(
@@ -135,10 +137,14 @@
         request: PipelineRequest,
         stage: PipelineStage,
     ) {
-        val source = stage.importFrom ?: return refuse(exchange, "bad_chain")
+        val source = stage.importFrom ?: return refuse(exchange, request, "bad_chain")
         val range = LayerRange(stage.first, stage.end)
         val imported = { session: Session? ->
-            if (session?.serves(range, request.from) == true) run(exchange, request) else refuse(exchange, "bad_chain")
+            if (session?.serves(range, request.from) == true) {
+                run(exchange, request)
+            } else {
+                refuse(exchange, request, "bad_chain")
+            }
         }
         val call = HttpRequestSpec(source, "GET", "/v1/sessions/${request.request}")
         HttpCall.start(call, SessionReader(imported), exchange.loop)
--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineMessages.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/engine/EngineMessages.kt
@@ -54,6 +54,8 @@
 
 @Serializable
 internal data class Refusal(
+    val request: String,
+    val attempt: Int,
     val outcome: String,
     val reason: String,
     val endpoint: String? = null,
