--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -149,6 +149,7 @@
 
     /** [ClientRequest.onHead] of the request that opened the connection. */
     private var onSkippedHead: ((ClientEvent.Head) -> Unit)? = null
+    private var isReusableAfter: (HttpHeaders) -> Boolean = { true }
     private var requestWritten: ChannelFuture? = null
     private var keepAlive = false
     private var keepAliveTimeout: Duration? = null
@@ -159,19 +160,19 @@
     /** The bytes received for the current call that are no part of its response. */
     private var skippedBytes = 0L
 
-    /** Sends [message] for [call], whose response is the next one that [isAnswer] accepts. */
+    /** Sends [message], which encodes [request], for [call]; the next response that the request accepts is its own. */
     fun send(
         ctx: ChannelHandlerContext,
         call: ClientCall,
         message: FullHttpRequest,
-        isAnswer: (HttpHeaders) -> Boolean,
-        onHead: (ClientEvent.Head) -> Unit,
+        request: ClientRequest,
     ) {
         current = call
         skippedBytes = 0
-        this.isAnswer = isAnswer
-        this.onHead = onHead
-        if (onSkippedHead == null) onSkippedHead = onHead
+        isAnswer = request.isAnswer
+        isReusableAfter = request.isReusableAfter
+        onHead = request.onHead
+        if (onSkippedHead == null) onSkippedHead = request.onHead
         requestWritten = ctx.channel().writeAndFlush(message)
     }
 
@@ -204,7 +205,7 @@
             return
         }
         if (message is HttpResponse && head != null) {
-            keepAlive = HttpUtil.isKeepAlive(message)
+            keepAlive = HttpUtil.isKeepAlive(message) && isReusableAfter(message.headers())
             keepAliveTimeout = keepAliveTimeout(message.headers())
             onHead(head)
             call.deliver(head)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
@@ -58,6 +58,7 @@
  * @property relayed all headers of a caller's request, which replace `Host` and `Content-Type`.
  * @property freshConnection whether a new connection is opened instead of using a pooled one.
  * @property maxIdle the maximum idle time of a pooled connection for this request; null for the client's setting.
+ * @property connections the connections that the request was sent over before, none of which it uses again.
  * @property notAfter the latest time to send the request, checked on the open connection just before the first byte.
  * @property isWanted returns whether the request may still be sent, asked on the open connection just before the first
  *   byte.
@@ -65,6 +66,8 @@
  *   to an earlier request and is skipped.
  * @property onHead called with the head of the response, and with those of skipped responses on the connection if this
  *   request opened it: they are of the same process, even if another one is expected at the address by then.
+ * @property isReusableAfter returns whether another request may use the connection after a response with these headers;
+ *   one that may belong to an earlier request leaves the real one outstanding.
  */
 public class ClientRequest(
     public val address: Address,
@@ -76,10 +79,12 @@
     public val relayed: HttpHeaders? = null,
     public val freshConnection: Boolean = false,
     public val maxIdle: Duration? = null,
+    public val connections: ConnectionHistory = ConnectionHistory(),
     public val notAfter: Timestamp? = null,
     public val isWanted: () -> Boolean = { true },
     public val isAnswer: (HttpHeaders) -> Boolean = { true },
     public val onHead: (ClientEvent.Head) -> Unit = {},
+    public val isReusableAfter: (HttpHeaders) -> Boolean = { true },
 )
 
 /**
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -12,6 +12,7 @@
 import oriolespindle.router.http.ClientCall
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.http.ClientRequest
+import oriolespindle.router.http.ConnectionHistory
 import oriolespindle.router.http.FailureKind
 import oriolespindle.router.http.HttpAnswer
 import oriolespindle.router.logging.EventLog
@@ -34,6 +35,7 @@
     protected var call: ClientCall? = null
     protected var ended = false
         private set
+    private val connections = ConnectionHistory()
     private var expiryTimer: ScheduledFuture<*>? = null
     private var attemptTimer: ScheduledFuture<*>? = null
 
@@ -67,7 +69,32 @@
 
     protected fun mayReceive(endpoint: EndpointId): Boolean = history.mayReceive(endpoint, request.route.maxAttempts)
 
-    protected fun isAnswer(answerId: String?): Boolean = answerId == null || answerId == request.id.value
+    /** Whether [headers] may be of the answer to this request; those that bear another id are of an earlier one. */
+    private fun isAnswer(headers: HttpHeaders): Boolean = !headers.contains(context.names.requestId) || bearsId(headers)
+
+    private fun bearsId(headers: HttpHeaders): Boolean = headers.get(context.names.requestId) == request.id.value
+
+    /** Whether [head] states that this request did not run; without its id, it may be about an earlier request. */
+    protected fun isRefusal(head: ClientEvent.Head): Boolean = statesNotRun(head) && bearsId(head.headers)
+
+    /**
+     * Whether an answer with [head] that is no refusal may be passed on.
+     *
+     * Some statuses tell callers that the request did not run, which the endpoint did not state here.
+     */
+    protected fun isDeliverable(head: ClientEvent.Head): Boolean =
+        isEndpointAnswer(head.headers) && head.status !in NOT_RUN_STATUSES
+
+    /** The reason for an attempt whose answer with [head] is not deliverable. */
+    protected fun unusableReason(head: ClientEvent.Head): String =
+        when {
+            statesNotRun(head) -> "unidentified_refusal"
+            isEndpointAnswer(head.headers) -> "unconfirmed_refusal"
+            else -> "not_an_endpoint_answer"
+        }
+
+    private fun statesNotRun(head: ClientEvent.Head): Boolean =
+        head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
 
     /** Whether [headers] are of an endpoint's own answer to this request, with a body as the endpoint sent it. */
     protected fun isEndpointAnswer(headers: HttpHeaders): Boolean =
@@ -96,9 +123,11 @@
                 relayed = context.headers.forEndpoint(exchange.requestHeaders, request.dropKey),
                 headers = request.team?.let { ownHeaders + (names.team to it.value) } ?: ownHeaders,
                 maxIdle = maxIdle,
+                connections = connections,
                 notAfter = request.expiry,
                 isWanted = { receivers.all { context.directory.isInUse(monotonicNow(), it) } },
-                isAnswer = { isAnswer(it.get(names.requestId)) },
+                isAnswer = ::isAnswer,
+                isReusableAfter = ::bearsId,
                 onHead = { context.answers.onHead(endpoint, it) },
             )
         var current: ClientCall? = null
@@ -336,6 +365,9 @@
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val MISDIRECTED = 421
+
+        /** The statuses by which callers know that a request did not run and will not run. */
+        val NOT_RUN_STATUSES = setOf(408, MISDIRECTED, 429, 503)
         const val SUCCESS_FIRST = 200
         const val SUCCESS_LAST = 299
         private const val SPREAD_STEPS = 1_000
