Never answer with a second head once a stream has begun

Callers of a stream whose endpoint sent events and also declared that it had not run the request received those events and then nothing: the stream did not end and its connection stayed open.

The session forwarded the events, since it looked at the status and the signature alone, and read the declaration at the end of the answer. With another path known it then refused the request as overloaded. The exchange wrote the head of the refusal into the begun response, the encoder failed on it, and nothing closed the connection.

An answer that declares not to have run the request is now never a stream, a begun answer is never refused, and the exchange itself aborts a begun response when another one is sent, whoever sends it.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -48,6 +48,9 @@
     private val head = request.head
     private val keepAlive = HttpUtil.isKeepAlive(head)
     private val ended = AtomicBoolean(false)
+
+    @Volatile
+    private var hasBegun = false
     private val answeredAction = AtomicReference<(() -> Unit)?>()
 
     val method: String = head.method().name()
@@ -91,9 +94,9 @@
 
     fun headers(name: String): List<String> = head.headers().getAll(name)
 
-    /** Sends a complete response; later calls are ignored. */
+    /** Sends a complete response; later calls are ignored, and one after a response has begun aborts it. */
     fun respond(answer: HttpAnswer) {
-        if (!end()) return
+        if (!endUnanswered(answer.status)) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -106,13 +109,13 @@
         finish(response)
     }
 
-    /** Sends a complete response with the headers of another server's response; later calls are ignored. */
+    /** Sends a complete response like [respond], with the headers of another server's response. */
     fun relay(
         status: Int,
         headers: HttpHeaders,
         body: ByteArray,
     ) {
-        if (!end()) return
+        if (!endUnanswered(status)) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -129,6 +132,7 @@
         status: Int,
         headers: HttpHeaders,
     ) {
+        hasBegun = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().set(headers)
         HttpUtil.setTransferEncodingChunked(response, true)
@@ -142,6 +146,7 @@
         contentType: String,
         headers: List<Pair<String, String>> = emptyList(),
     ) {
+        hasBegun = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         HttpUtil.setTransferEncodingChunked(response, true)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
@@ -163,6 +168,14 @@
         if (end()) ctx.close()
     }
 
+    /** Ends the exchange for a complete response of [status]; aborts it if another response has begun. */
+    private fun endUnanswered(status: Int): Boolean {
+        if (!hasBegun || ended.get()) return end()
+        EventLog.warn("response aborted: another one has begun", "path" to path, "status" to status)
+        abort()
+        return false
+    }
+
     internal fun onConnectionClosed() {
         if (end()) onClosed()
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -102,7 +102,7 @@
     }
 
     private fun onNoTarget() {
-        if (hasPath && !history.mayHaveRun) {
+        if (hasPath && !history.mayHaveRun && !answerBegun) {
             refuse("overloaded", context.times.retryAfterOverload)
         } else {
             onAttemptFailed(AttemptEnd.NotSent, "no_path", endpoint = null)
@@ -135,9 +135,12 @@
 
     private fun isStream(): Boolean {
         val current = head ?: return false
-        return current.status in SUCCESS_FIRST..SUCCESS_LAST && isEndpointAnswer(current.headers)
+        return current.status in SUCCESS_FIRST..SUCCESS_LAST && isEndpointAnswer(current.headers) && !isRefusal(current)
     }
 
+    private fun isRefusal(answer: ClientEvent.Head): Boolean =
+        answer.headers.contains(context.names.notExecuted) || answer.status == MISDIRECTED
+
     private fun onData(bytes: ByteArray) {
         val current = call
         val isAccepted = if (isStream()) forwardEvents(bytes) else failureBody.append(bytes)
@@ -224,10 +227,9 @@
 
     private fun onCompleted(head: ClientEvent.Head) {
         val first = first ?: return
-        val refused = head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
         val failure = failureBody.toByteArray()
         when {
-            refused -> onRefused(head, first)
+            isRefusal(head) -> onRefused(head, first)
             isStream() -> onStreamEnded(first.id)
             !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
             answerBegun -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
@@ -12,6 +12,7 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.net.Socket
@@ -125,6 +126,24 @@
         expectThrows<IOException> { Socket(target.host, target.port).close() }
     }
 
+    @Test
+    fun `does not leave a begun response open when another one is sent`() {
+        val server =
+            HttpServer(group, HttpServerSettings()) { exchange ->
+                exchange.beginStream(200, "text/event-stream")
+                exchange.respond(HttpAnswer.json(503, HANDLED))
+            }
+        val target = server.bind(Address("127.0.0.1", 0))
+        Socket(target.host, target.port).use { socket ->
+            socket.soTimeout = CLOSE_TIMEOUT_MILLIS
+            socket.getOutputStream().write(GET.toByteArray())
+            val reply = socket.getInputStream().readAllBytes().decodeToString()
+
+            expectThat(reply).startsWith("HTTP/1.1 200").not { contains("503") }
+            expectThat(reply.endsWith("\r\n\r\n")).isTrue()
+        }
+    }
+
     private fun exchange(text: String): String = exchange(text.toByteArray())
 
     /** Sends [bytes], shuts down the output and returns what the server sends until it closes the connection. */
@@ -148,6 +167,7 @@
         const val HANDLED = "it was handled"
         const val END_OF_STREAM = -1
         const val READ_TIMEOUT_MILLIS = 60_000
+        const val CLOSE_TIMEOUT_MILLIS = 5_000
         const val POLL_INTERVAL_MILLIS = 5L
 
         /** Much longer than a closing listener goes on accepting. */
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -209,9 +209,19 @@
     }
 }
 
+/** How a caller's connection ended. */
+internal enum class ConnectionEnd {
+    CLOSED,
+    RESET,
+
+    /** The connection was still open after the read timeout. */
+    NONE,
+}
+
 /** Everything that a caller received until its connection ended. */
 internal class RawAnswer(
     val text: String,
+    val end: ConnectionEnd,
 ) {
     val status: Int = text.substringAfter(' ', "0").substringBefore(' ').toIntOrNull() ?: 0
     private val head = text.substringBefore("\r\n\r\n").lines()
@@ -242,6 +252,7 @@
         path: String,
         headers: Map<String, String>,
         body: String,
+        version: String = "HTTP/1.1",
     ) {
         val all =
             mapOf(
@@ -253,25 +264,30 @@
                 headers
         val head = all.filterValues { it.isNotEmpty() }.entries.joinToString("") { "${it.key}: ${it.value}\r\n" }
         val length = if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"
-        socket.getOutputStream().write("$method $path HTTP/1.1\r\n$head$length\r\n$body".toByteArray())
+        socket.getOutputStream().write("$method $path $version\r\n$head$length\r\n$body".toByteArray())
     }
 
-    fun readAll(): RawAnswer {
-        socket.soTimeout = READ_TIMEOUT_MILLIS
-        return RawAnswer(
-            buildString {
-                val buffer = ByteArray(READ_BUFFER_BYTES)
-                try {
-                    while (true) {
-                        val count = socket.getInputStream().read(buffer)
-                        if (count < 0) break
-                        append(String(buffer, 0, count, Charsets.ISO_8859_1))
-                    }
-                } catch (_: java.io.IOException) {
-                    // A reset also ends the answer; the bytes before it are kept.
-                }
-            },
-        )
+    fun readAll(timeoutMillis: Int = READ_TIMEOUT_MILLIS): RawAnswer {
+        socket.soTimeout = timeoutMillis
+        val text = StringBuilder()
+        val end = readInto(text)
+        return RawAnswer(text.toString(), end)
+    }
+
+    /** Reads into [text]; the bytes before a reset are kept. */
+    private fun readInto(text: StringBuilder): ConnectionEnd {
+        val buffer = ByteArray(READ_BUFFER_BYTES)
+        try {
+            while (true) {
+                val count = socket.getInputStream().read(buffer)
+                if (count < 0) return ConnectionEnd.CLOSED
+                text.append(String(buffer, 0, count, Charsets.ISO_8859_1))
+            }
+        } catch (_: java.net.SocketTimeoutException) {
+            return ConnectionEnd.NONE
+        } catch (_: java.io.IOException) {
+            return ConnectionEnd.RESET
+        }
     }
 
     override fun close() = socket.close()
