Join a resumed run only if its answer continues the stream

A stream had begun and broke off, and the endpoint that should resume it did something else. Callers found the comments of that answer, or events of an answer of another media type, in the middle of their stream, or the stream ended as complete although the second answer had no event: a 204, an empty text, a comment alone, or a head without a length whose connection was closed at once.

Any signed success was taken for the rest of the stream, and any end outside an event for its end. Now an answer continues the stream only with the status and media type of the first one, its comments are forwarded once an event of it was, and a run without an event completes the stream only if it is empty and says so by its framing. An answer without a length whose endpoint crashes right after the head is indistinguishable from an empty one, so it does not end a stream.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -32,8 +32,15 @@
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
     private var head: ClientEvent.Head? = null
+    private val continuation = StreamContinuation()
     private var forwardedEvents = 0
 
+    /** Whether an event of the run in progress was forwarded, so that it is known to continue the answer. */
+    private var hasJoined = false
+
+    /** Whether the run in progress has sent any byte of a body. */
+    private var hasBody = false
+
     /** Whether endpoints for all layers exist, even if they are at capacity. */
     private var hasPath = false
     private var startedAt = Timestamp.ZERO
@@ -58,6 +65,8 @@
         awaitsFirstEvent = true
         context.concurrency.onStreamStarted(startedAt, target.id)
         head = null
+        hasJoined = false
+        hasBody = false
         framer.reset()
         if (answerBegun) position.onResumed()
         path?.let { context.load.onRequestStarted(it, tokens) }
@@ -133,9 +142,11 @@
         }
     }
 
+    /** Whether the attempt's answer is the stream of this request and continues what the caller has received. */
     private fun isStream(): Boolean {
         val current = head ?: return false
-        return current.status in SUCCESS_FIRST..SUCCESS_LAST && isEndpointAnswer(current.headers) && !isRefusal(current)
+        val isSuccess = current.status in SUCCESS_FIRST..SUCCESS_LAST && !isRefusal(current)
+        return isSuccess && isEndpointAnswer(current.headers) && continuation.accepts(current)
     }
 
     private fun isRefusal(answer: ClientEvent.Head): Boolean =
@@ -143,6 +154,7 @@
 
     private fun onData(bytes: ByteArray) {
         val current = call
+        hasBody = true
         val isAccepted = if (isStream()) forwardEvents(bytes) else failureBody.append(bytes)
         if (isAccepted || ended || call !== current) return
         val faulty = first?.id
@@ -155,36 +167,33 @@
         for (record in framer.feed(bytes)) {
             if (record.isComment) {
                 // Comments keep connections open but are no progress, so they do not end the wait for an event.
-                if (answerBegun) exchange.writeChunk(record.bytes)
+                if (hasJoined) exchange.writeChunk(record.bytes)
                 continue
             }
             when (position.accept(record.id)) {
-                EventVerdict.FORWARD -> {
-                    forward(record.bytes)
-                }
-
-                EventVerdict.DUPLICATE -> {
-                    Unit
-                }
-
-                EventVerdict.GAP -> {
-                    val faulty = first?.id
-                    abandonCall()
-                    onAttemptFailed(AttemptEnd.Unknown, "event_missing", faulty)
-                    return true
-                }
+                EventVerdict.FORWARD -> forward(record.bytes)
+                EventVerdict.DUPLICATE -> Unit
+                EventVerdict.GAP -> return onBadEvent("event_missing")
             }
         }
         return !framer.isOversized
     }
 
+    /** Ends the run whose next event cannot be forwarded; returns true, since its bytes are handled. */
+    private fun onBadEvent(reason: String): Boolean {
+        val faulty = first?.id
+        abandonCall()
+        onAttemptFailed(AttemptEnd.Unknown, reason, faulty)
+        return true
+    }
+
     private fun forward(event: ByteArray) {
         if (forwardedEvents == 0) {
             context.metrics.onAnswerBegun(elapsed(request.arrivedAt))
-            val first = checkNotNull(head)
-            exchange.beginRelay(first.status, context.headers.forCaller(first.headers))
+            beginAnswer(checkNotNull(head))
         }
         forwardedEvents++
+        hasJoined = true
         lastEventAt = monotonicNow()
         recordFirstEventLatency()
         path?.parts?.forEach { context.directory.onSuccess(it.endpoint.id, startedAt) }
@@ -193,6 +202,11 @@
         watchAttempt(context.times.eventTimeout, ::onStalled)
     }
 
+    private fun beginAnswer(head: ClientEvent.Head) {
+        continuation.onBegun(head)
+        exchange.beginRelay(head.status, context.headers.forCaller(head.headers))
+    }
+
     private fun recordFirstEventLatency() {
         if (!awaitsFirstEvent) return
         awaitsFirstEvent = false
@@ -229,11 +243,29 @@
         val first = first ?: return
         val failure = failureBody.toByteArray()
         when {
-            isRefusal(head) -> onRefused(head, first)
-            isStream() -> onStreamEnded(first.id)
-            !isEndpointAnswer(head.headers) -> onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
-            answerBegun -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
-            else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
+            isRefusal(head) -> {
+                onRefused(head, first)
+            }
+
+            isStream() -> {
+                onStreamEnded(first.id)
+            }
+
+            !isEndpointAnswer(head.headers) -> {
+                onAttemptFailed(AttemptEnd.Unknown, "not_an_endpoint_answer", first.id)
+            }
+
+            head.status in SUCCESS_FIRST..SUCCESS_LAST -> {
+                onAttemptFailed(AttemptEnd.Unknown, "not_a_continuation", first.id)
+            }
+
+            answerBegun -> {
+                onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
+            }
+
+            else -> {
+                onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
+            }
         }
     }
 
@@ -243,7 +275,12 @@
             return
         }
         val current = checkNotNull(head)
-        if (forwardedEvents == 0) exchange.beginRelay(current.status, context.headers.forCaller(current.headers))
+        val isEmpty = !hasBody && continuation.hasExplicitEnd(current)
+        if (!hasJoined && !isEmpty) {
+            onAttemptFailed(AttemptEnd.Unknown, "no_events", first)
+            return
+        }
+        if (!answerBegun) beginAnswer(current)
         complete(current.status)
         exchange.endStream()
     }
