Stream to HTTP/1.0 callers without chunks and reset broken streams

An HTTP/1.0 caller of a stream received the sizes of the chunks as part of the body, and a stream that broke off looked complete to it, since such a caller takes a closed connection for the end of the body.

Responses were chunked whatever version the caller speaks. The body for an HTTP/1.0 caller is now sent as it is and ends with the connection, and an incomplete one ends with a reset.

Seen failing on: BrokenStreamTest received "15 id: 1 data: event 1 0" instead of the event, and CLOSED instead of RESET.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -46,7 +47,10 @@
     private val onEnd: () -> Unit,
 ) {
     private val head = request.head
-    private val keepAlive = HttpUtil.isKeepAlive(head)
+
+    /** Whether the caller understands chunks; the body for an HTTP/1.0 caller ends with the connection instead. */
+    private val isChunked = head.protocolVersion().isKeepAliveDefault
+    private val keepAlive = isChunked && HttpUtil.isKeepAlive(head)
     private val ended = AtomicBoolean(false)
 
     @Volatile
@@ -127,7 +131,7 @@
         finish(response)
     }
 
-    /** Starts a response with the headers of another server's response; its body is sent in chunks. */
+    /** Starts a response with the headers of another server's response; its body is sent in parts. */
     fun beginRelay(
         status: Int,
         headers: HttpHeaders,
@@ -135,12 +139,12 @@
         hasBegun = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().set(headers)
-        HttpUtil.setTransferEncodingChunked(response, true)
+        if (isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         setConnectionHeader(response)
         ctx.write(response)
     }
 
-    /** Starts a response whose body is sent in chunks. */
+    /** Starts a response whose body is sent in parts. */
     fun beginStream(
         status: Int,
         contentType: String,
@@ -148,7 +152,7 @@
     ) {
         hasBegun = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
-        HttpUtil.setTransferEncodingChunked(response, true)
+        if (isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
         headers.forEach { (name, value) -> response.headers().add(name, value) }
         setConnectionHeader(response)
@@ -163,9 +167,12 @@
         if (end()) finish(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
-    /** Closes the connection without completing the response. */
+    /** Ends the connection so that the caller can tell that the response is incomplete. */
     fun abort() {
-        if (end()) ctx.close()
+        if (!end()) return
+        // A body without chunks looks complete when its connection is closed, but not when it is reset.
+        if (!isChunked) ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+        ctx.close()
     }
 
     /** Ends the exchange for a complete response of [status]; aborts it if another response has begun. */
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenStreamTest.kt
@@ -112,6 +112,32 @@
         close()
     }
 
+    @Test
+    fun `sends a stream to an HTTP 1_0 caller without chunks`() {
+        val target =
+            endpoint("e1") { request, _ ->
+                write(Scripts.streamHead(request) + Scripts.chunk(Scripts.event(1)) + Scripts.LAST_CHUNK)
+            }
+        serve(target)
+        val answer = callWithOldVersion()
+
+        expectThat(answer.rawBody).isEqualTo(Scripts.event(1))
+        expectThat(answer.end).isEqualTo(ConnectionEnd.CLOSED)
+    }
+
+    @Test
+    fun `resets the connection of an HTTP 1_0 caller whose stream breaks off`() {
+        serve(endpoint("e1") { request, _ -> breakOff(request) }, maxAttempts = 1)
+
+        expectThat(callWithOldVersion().end).isEqualTo(ConnectionEnd.RESET)
+    }
+
+    private fun callWithOldVersion() =
+        relay.connect().use { caller ->
+            caller.send("POST", "/r/x", mapOf("Time-Left" to "800"), "body", version = "HTTP/1.0")
+            caller.readAll()
+        }
+
     /** A second answer that is no continuation of the stream. */
     class OtherAnswer(
         private val name: String,
