End a run whose next bytes are no event

An endpoint that streams without a length may write an error page, with its head, after its events. Callers found it in the middle of their stream.

Records were split at blank lines and forwarded if they had no id, whatever else they held. A record with lines but without any field that the format of event streams defines now ends the run, which is resumed or aborted like any other broken run. An error page that follows part of an event within the same record cannot be told from the event's own data.

Seen failing on: BrokenStreamTest received "HTTP/1.1 500 Internal Server Error" after event 2.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
@@ -8,6 +8,8 @@
     public val id: Long?,
     /** Whether it has no field, so that it carries no part of the answer: a comment or blank lines. */
     public val isComment: Boolean = false,
+    /** Whether it has lines but no field of an event, such as an error page among the events of a stream. */
+    public val isMalformed: Boolean = false,
 )
 
 /** Splits an event stream into complete events and buffers the bytes after the last blank line. */
@@ -72,7 +74,12 @@
     private fun framed(event: ByteArray): FramedEvent {
         val lines = event.decodeToString().lineSequence().filter { it.isNotEmpty() && !it.startsWith(COMMENT) }
         val id = lines.firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)
-        return FramedEvent(event, id?.trim()?.toLongOrNull(), isComment = lines.none())
+        return FramedEvent(
+            bytes = event,
+            id = id?.trim()?.toLongOrNull(),
+            isComment = lines.none(),
+            isMalformed = lines.any() && lines.none { it.substringBefore(':') in FIELDS },
+        )
     }
 
     private companion object {
@@ -80,6 +87,9 @@
         const val ID_FIELD = "id:"
         const val COMMENT = ':'
 
+        /** The fields that the format of event streams defines; endpoints may add others. */
+        val FIELDS = setOf("id", "data", "event", "retry")
+
         /** One byte less than two line breaks of two bytes. */
         const val MAX_EVENT_END = 3
         const val LF = '\n'.code.toByte()
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EventFramerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EventFramerTest.kt
@@ -50,6 +50,14 @@
         }
     }
 
+    @Test
+    fun `guards against taking an error page for an event`() {
+        val page = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n"
+        val records = framer.feed("versions: 3\nid: 1\ndata: a\n\n: alive\n\n$page".toByteArray())
+
+        expectThat(records.map { it.isMalformed }).containsExactly(false, false, true)
+    }
+
     @Test
     fun `guards against missing or duplicate events where runs are joined`() {
         val position = StreamPosition(startAfter = null)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -170,6 +170,7 @@
                 if (hasJoined) exchange.writeChunk(record.bytes)
                 continue
             }
+            if (record.isMalformed) return onBadEvent("not_an_event")
             when (position.accept(record.id)) {
                 EventVerdict.FORWARD -> forward(record.bytes)
                 EventVerdict.DUPLICATE -> Unit
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenStreamTest.kt
@@ -104,6 +104,19 @@
         expectThat(answer.isComplete).isTrue()
     }
 
+    @Test
+    fun `does not forward an error page that follows the events of a stream without a length`() {
+        val first =
+            endpoint("e1") { request, _ ->
+                write(unframedHead(request) + Scripts.event(1) + Scripts.event(2))
+                write("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\nerror\n\n")
+                close()
+            }
+        serve(first, endpoint("e2") { request, _ -> resumeWithoutLength(request) })
+
+        expectThat(relay.call().body.removeSuffix("0")).isEqualTo((1..4).joinToString("") { Scripts.event(it) })
+    }
+
     private fun unframedHead(request: ReceivedRequest) =
         Scripts.streamHead(request).replace("Transfer-Encoding: chunked\r\n", "")
 
