Do not wait for the body of an answer to HEAD

A HEAD request whose answer states a length was answered 504 at its deadline.

The decoder of responses does not see the requests and waited for as many bytes as the head states. It is now told that the answer to HEAD has none.

Seen failing on: EndpointFaultTest received 504 instead of 200.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -165,6 +166,7 @@
         current = call
         skippedBytes = 0
         this.isAnswer = isAnswer
+        ctx.pipeline().get(ResponseDecoder::class.java).isBodiless = message.method() == HttpMethod.HEAD
         requestWritten = ctx.channel().writeAndFlush(message)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.http
 
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /** Decodes the responses of one connection and detects bytes that belong to none of them. */
@@ -8,6 +9,11 @@
     /** Whether bytes that follow the last decoded response are buffered. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
+    /** Whether the response has no body although its headers may state a length, as the response to HEAD. */
+    var isBodiless: Boolean = false
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodiless || super.isContentAlwaysEmpty(message)
+
     private companion object {
         /** Bounds memory; it is not meant to restrict the headers that endpoints add to their responses. */
         const val MAX_HEADER_BYTES = 65_536
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/EndpointFaultTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/EndpointFaultTest.kt
@@ -208,6 +208,14 @@
         expectThat(slow.requests).hasSize(1)
     }
 
+    @Test
+    fun `does not wait for the body of an answer to HEAD`() {
+        val head = { request: ReceivedRequest -> Scripts.whole(request, "body").removeSuffix("body") }
+        serveCalls(RouteKind.IDEMPOTENT, endpoint { request, _ -> write(head(request)) })
+
+        expectThat(relay.call(method = "HEAD", body = "").status).isEqualTo(200)
+    }
+
     @Test
     fun `does not deliver a success that names no request`() {
         val target =
