--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -28,7 +28,7 @@
     private val framer = EventFramer()
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
     private val failureBody = AnswerBuffer(context.http.buffers)
-    private val tokens = requestTokens()
+    private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
     private var head: ClientEvent.Head? = null
@@ -373,26 +373,7 @@
         return context.load.utilization(model, accelerator, endpoint, layers)
     }
 
-    /** Returns the prompt tokens plus the smaller of the typical answer and the maximum that the caller allows. */
-    private fun requestTokens(): Int {
-        val parts = exchange.header(context.names.tokens)?.split(',').orEmpty()
-        val tokens = { index: Int ->
-            parts
-                .getOrNull(index)
-                ?.trim()
-                ?.toIntOrNull()
-                ?.coerceIn(0, MAX_TOKENS)
-        }
-        val usualAnswer = model?.typicalAnswerTokens ?: 0
-        val prompt = tokens(0) ?: model?.typicalPromptTokens ?: 0
-        val answer = tokens(1) ?: usualAnswer
-        return prompt + minOf(answer, usualAnswer)
-    }
-
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
-
-        /** More than any engine has memory for; keeps sums of callers' figures from overflowing. */
-        const val MAX_TOKENS = 10_000_000
     }
 }
