Keep a stream at a silent endpoint unless another one can take it

A sound endpoint may send nothing for a second or so.

Silence alone ended an attempt whether or not there was a better place. Now - a plain stream that has begun is resumed elsewhere only after the maximum event gap, as no report can be asked for; - an attempt at an engine that reports to be alive, or at a plain endpoint, is only ended if another endpoint is below its limit, and otherwise goes on being watched; - an engine that gives no report still gets no new streams, but its streams move only if there is a path without it. An engine that waits for another one, a reset and a failed connection are handled as before, and so is an engine without a report when there is another path: callers leave after two seconds, and a lost engine must not cost them more.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -48,6 +48,7 @@
     /**
      * Timeout for the first event, after which the path's first engine is asked for a stall report.
      *
+     * A plain service is not asked; its stream is sent to another endpoint if one is free.
      * Several times the wait at an engine with free capacity.
      */
     public val firstEventTimeout: Duration = 400.milliseconds,
@@ -60,7 +61,7 @@
     /** Timeout for a stall report, and the interval between two reports. */
     public val stallReportInterval: Duration = 300.milliseconds,
     /**
-     * Maximum gap between two events before a stream is abandoned although its first engine is alive.
+     * Maximum gap between two events before a stream is resumed at a free endpoint although its own one may be sound.
      *
      * The connection may have gone silent. Callers time out after two seconds, and a second run takes about half that.
      */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -13,6 +13,7 @@
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
+import kotlin.time.Duration
 
 /**
  * Relays a request whose answer is a stream of events, from a path of engines or from a plain service.
@@ -314,7 +315,12 @@
     /** Whether the attempt may be abandoned for another one; a stream that cannot run again stays at its endpoint. */
     private fun canRestartElsewhere(): Boolean = call?.sent != true || mayReplaceAttempt()
 
-    /** Called when no event arrived in time; asks the path's first endpoint whether it waits for another one. */
+    /**
+     * Called when no event arrived in time; asks the path's first endpoint whether it waits for another one.
+     *
+     * A sound endpoint may be silent for a second or more. Silence alone ends an attempt only if another endpoint is
+     * free, since the stream may go on sooner where it is than at an endpoint that refuses it.
+     */
     private fun onStalled() {
         val target = first ?: return
         if (!exchange.isWritable) {
@@ -324,32 +330,62 @@
         recordFirstEventLatency()
         pollPaces()
         if (!canRestartElsewhere()) return
-        if (call?.sent != true || model == null) {
+        // A plain service cannot be asked; before its first event, another run at a free endpoint answers sooner.
+        val maxSilence = if (model == null && !answerBegun) Duration.ZERO else context.times.maxEventGap
+        val isSilent = elapsed(lastEventAt) >= maxSilence && hasAlternative(target.id, mustBeFree = true)
+        if (call?.sent != true || isSilent) {
             abandonAttempt(target.id)
             return
         }
+        watchAttempt(context.times.stallReportInterval, ::onStalled)
+        if (model != null) requestStallReport(target)
+    }
+
+    private fun requestStallReport(target: RelayEndpoint) {
         val reportedCall = call
         val forwardedBefore = forwardedEvents
-        val isCurrent = { !ended && call === reportedCall && forwardedEvents == forwardedBefore }
-        watchAttempt(context.times.stallReportInterval) {
-            val isGapExceeded = exchange.isWritable && elapsed(lastEventAt) >= context.times.maxEventGap
-            if (isGapExceeded) abandonAttempt(target.id) else onStalled()
-        }
         context.engines.stalledAt(target, request.id.value) { report ->
-            if (isCurrent()) {
-                EventLog.info(
-                    "stream makes no progress",
-                    "request" to request.id,
-                    "first" to target.id,
-                    "report" to report,
-                )
-                when (report) {
-                    is StallReport.WaitsFor -> onLost(context.directory.findByAddress(report.address)?.id ?: target.id)
-                    StallReport.Alive -> Unit
-                    StallReport.NoAnswer -> onLost(target.id)
-                }
-            }
+            if (!ended && call === reportedCall && forwardedEvents == forwardedBefore) onStallReport(target, report)
+        }
+    }
+
+    private fun onStallReport(
+        target: RelayEndpoint,
+        report: StallReport,
+    ) {
+        EventLog.info(
+            "stream makes no progress",
+            "request" to request.id,
+            "first" to target.id,
+            "report" to report,
+        )
+        when (report) {
+            is StallReport.WaitsFor -> onLost(context.directory.findByAddress(report.address)?.id ?: target.id)
+            StallReport.Alive -> Unit
+            StallReport.NoAnswer -> onSilent(target.id)
+        }
+    }
+
+    /** An engine without a stall report may be lost, or silent for a moment; it gets no new streams meanwhile. */
+    private fun onSilent(target: EndpointId) {
+        context.directory.onReportedLost(monotonicNow(), target)
+        if (!hasAlternative(target)) return
+        abandonAttempt(target)
+        context.streams.toList().forEach { if (it.hasAlternative(target)) it.onEndpointLost(target) }
+    }
+
+    /** Whether an endpoint, or a path, other than [silent] may take the stream; with [mustBeFree], below its limit. */
+    private fun hasAlternative(
+        silent: EndpointId,
+        mustBeFree: Boolean = !answerBegun,
+    ): Boolean {
+        val now = monotonicNow()
+        val others = context.directory.usable(now, request.service.id).filter { it.id != silent }
+        val canTake = { other: EndpointId ->
+            mayReceive(other) && (!mustBeFree || context.concurrency.canStart(now, other))
         }
+        if (model == null) return others.any { it.id !in avoid && canTake(it.id) }
+        return context.paths.find(model, others, ::loadOf, avoid, ::pace, canTake) != null
     }
 
     private fun onLost(faulty: EndpointId) {
