Return to a silent endpoint when the others refuse

An idempotent call whose endpoint was silent for twice the objective was cut there and sent to another endpoint. If that one refused it, the caller received a 502, although the silent endpoint would have answered. A resumable stream of a plain service ended in the same way.

A request never went back to an endpoint on which it had given up. Now a call may use an endpoint once more that it left for its silence alone, when no other one is left, and a begun stream of a plain service may return like one of a model. Neither adds a receiver beyond the route's limit, and each repeat draws on the retry budget.

Seen failing on: SilentEndpointTest received 502 instead of 200, and a stream without its end.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -19,19 +19,27 @@
     private var endpoint: RelayEndpoint? = null
     private var startedAt = Timestamp.ZERO
 
+    /** The endpoints that were abandoned for their silence alone; they are used again when no other one is left. */
+    private val silent = HashSet<EndpointId>()
+
     override val answerBegun: Boolean = false
 
     override val receiver: EndpointId? get() = endpoint?.id
 
+    override fun canResend(): Boolean = silent.isNotEmpty() || super.canResend()
+
     override fun startAttempt() {
         val now = monotonicNow()
         val candidates = context.directory.usable(now, request.service.id).filter { mayReceive(it.id) }
-        val chosen = context.selector.choose(now, candidates, avoid)
+        val chosen =
+            context.selector.choose(now, candidates, avoid)
+                ?: context.selector.choose(now, candidates.filter { it.id in silent }, avoid = emptySet())
         if (chosen == null) {
             onAttemptFailed(AttemptEnd.NotSent, "no_endpoint", endpoint = null)
             return
         }
         head = null
+        silent -= chosen.id
         endpoint = chosen
         startedAt = now
         context.selector.onRequestStarted(chosen.id)
@@ -76,6 +84,7 @@
         val sent = call?.sent == true
         if (sent && !(mayReplaceAttempt() && hasOtherEndpoint())) return
         abandonCall()
+        silentEndpoint?.let(silent::add)
         onAttemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, "silent", silentEndpoint)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -52,8 +52,8 @@
 
     override val receiver: EndpointId? get() = first?.id
 
-    /** A model's request may be sent again, since another path may start at an endpoint that has received it before. */
-    override fun canResend(): Boolean = model != null || super.canResend()
+    /** A begun answer, and a model's request over another path, may return to an endpoint that has received it. */
+    override fun canResend(): Boolean = model != null || answerBegun || super.canResend()
 
     override fun startAttempt() {
         val target = chooseTarget()
@@ -99,11 +99,15 @@
     private fun chooseTarget(): RelayEndpoint? {
         val now = monotonicNow()
         val endpoints = context.directory.usable(now, request.service.id)
-        if (model == null) return context.selector.choose(now, endpoints.filter { mayReceive(it.id) }, avoid)
+        // Only a begun answer is retried at endpoints that failed before; otherwise a refusal tells the caller more.
+        if (model == null) {
+            val candidates = endpoints.filter { mayReceive(it.id) }
+            return context.selector.choose(now, candidates, avoid)
+                ?: context.selector.choose(now, candidates, emptySet()).takeIf { answerBegun }
+        }
         val isOpen = { endpoint: EndpointId ->
             mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(now, endpoint))
         }
-        // Only a begun answer is retried at endpoints that failed before; otherwise a refusal tells the caller more.
         path =
             context.paths.find(model, endpoints, ::loadOf, avoid, ::pace, isOpen)
                 ?: context.paths.find(model, endpoints, ::loadOf, emptySet(), ::pace, isOpen).takeIf { answerBegun }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/SilentEndpointTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/SilentEndpointTest.kt
@@ -5,6 +5,7 @@
 import oriolespindle.core.placement.ModelLayout
 import oriolespindle.core.relay.RouteKind
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
 
@@ -95,6 +96,32 @@
         expectOneRun(relay.call())
     }
 
+    @Test
+    fun `answers a call whose endpoint is silent for a second while the other endpoint refuses`() {
+        val silent =
+            endpoint("e1") { request, number ->
+                if (number == 1) Thread.sleep(SHORT_SILENCE_MILLIS)
+                write(Scripts.whole(request, "answer"))
+            }
+        relay.configure(RelayFixture.route(RouteKind.IDEMPOTENT))
+        val full = endpoint("e2") { request, _ -> write(Scripts.refused(request)) }
+        relay.register(silent.registration(zone = "z1"), full.registration(zone = "z2"))
+        val answer = relay.call(method = "GET", body = "")
+
+        expectThat(answer.status).isEqualTo(200)
+        expectThat(answer.body).isEqualTo("answer")
+    }
+
+    @Test
+    fun `goes back to a silent endpoint of a plain service when the other one refuses the stream`() {
+        val full = endpoint("e2") { request, _ -> write(Scripts.refused(request)) }
+        val silent = endpoint("e1") { request, _ -> streamWithSilence(request, ENDLESS_MILLIS) }
+        serveStreams(silent, full, model = null)
+
+        expectThat(relay.call().isComplete).isTrue()
+        expectThat(silent.requests).hasSize(2)
+    }
+
     private companion object {
         const val SHORT_SILENCE_MILLIS = 1_000L
 
