--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -93,7 +93,8 @@
             else -> "not_an_endpoint_answer"
         }
 
-    private fun statesNotRun(head: ClientEvent.Head): Boolean =
+    /** Whether [head] states that a request did not run, which need not be this one. */
+    protected fun statesNotRun(head: ClientEvent.Head): Boolean =
         head.headers.contains(context.names.notExecuted) || head.status == MISDIRECTED
 
     /** Whether [headers] are of an endpoint's own answer to this request, with a body as the endpoint sent it. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -29,12 +29,19 @@
     private val framer = EventFramer()
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
     private val failureBody = AnswerBuffer(context.http.buffers)
-    private val tokens = requestTokens()
+    private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
     private var head: ClientEvent.Head? = null
+    private val continuation = StreamContinuation()
     private var forwardedEvents = 0
 
+    /** Whether an event of the run in progress was forwarded, so that it is known to continue the answer. */
+    private var hasJoined = false
+
+    /** Whether the run in progress has sent any byte of a body. */
+    private var hasBody = false
+
     /** Whether endpoints for all layers exist, even if they are at capacity. */
     private var hasPath = false
     private var startedAt = Timestamp.ZERO
@@ -45,8 +52,8 @@
 
     override val receiver: EndpointId? get() = first?.id
 
-    /** A model's request may be sent again, since another path may start at an endpoint that has received it before. */
-    override fun canResend(): Boolean = model != null || super.canResend()
+    /** A begun answer, and a model's request over another path, may return to an endpoint that has received it. */
+    override fun canResend(): Boolean = model != null || answerBegun || super.canResend()
 
     override fun startAttempt() {
         val target = chooseTarget()
@@ -59,6 +66,8 @@
         awaitsFirstEvent = true
         context.concurrency.onStreamStarted(startedAt, target.id)
         head = null
+        hasJoined = false
+        hasBody = false
         framer.reset()
         if (answerBegun) position.onResumed()
         path?.let { context.load.onRequestStarted(it, tokens) }
@@ -90,11 +99,15 @@
     private fun chooseTarget(): RelayEndpoint? {
         val now = monotonicNow()
         val endpoints = context.directory.usable(now, request.service.id)
-        if (model == null) return context.selector.choose(now, endpoints.filter { mayReceive(it.id) }, avoid)
+        // Only a begun answer is retried at endpoints that failed before; otherwise a refusal tells the caller more.
+        if (model == null) {
+            val candidates = endpoints.filter { mayReceive(it.id) }
+            return context.selector.choose(now, candidates, avoid)
+                ?: context.selector.choose(now, candidates, emptySet()).takeIf { answerBegun }
+        }
         val isOpen = { endpoint: EndpointId ->
             mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(now, endpoint))
         }
-        // Only a begun answer is retried at endpoints that failed before; otherwise a refusal tells the caller more.
         path =
             context.paths.find(model, endpoints, ::loadOf, avoid, ::pace, isOpen)
                 ?: context.paths.find(model, endpoints, ::loadOf, emptySet(), ::pace, isOpen).takeIf { answerBegun }
@@ -103,7 +116,7 @@
     }
 
     private fun onNoTarget() {
-        if (hasPath && !history.mayHaveRun) {
+        if (hasPath && !history.mayHaveRun && !answerBegun) {
             refuse("overloaded", context.times.retryAfterOverload)
         } else {
             onNoEndpoint("no_path")
@@ -145,13 +158,16 @@
         }
     }
 
+    /** Whether the attempt's answer is the stream of this request and continues what the caller has received. */
     private fun isStream(): Boolean {
         val current = head ?: return false
-        return current.status in SUCCESS_FIRST..SUCCESS_LAST && isEndpointAnswer(current.headers)
+        val isSuccess = current.status in SUCCESS_FIRST..SUCCESS_LAST && !statesNotRun(current)
+        return isSuccess && isEndpointAnswer(current.headers) && continuation.accepts(current)
     }
 
     private fun onData(bytes: ByteArray) {
         val current = call
+        hasBody = true
         val isAccepted = if (isStream()) forwardEvents(bytes) else failureBody.append(bytes)
         if (isAccepted || ended || call !== current) return
         val faulty = first?.id
@@ -164,36 +180,34 @@
         for (record in framer.feed(bytes)) {
             if (record.isComment) {
                 // Comments keep connections open but are no progress, so they do not end the wait for an event.
-                if (answerBegun) exchange.writeChunk(record.bytes)
+                if (hasJoined) exchange.writeChunk(record.bytes)
                 continue
             }
+            if (record.isMalformed) return onBadEvent("not_an_event")
             when (position.accept(record.id)) {
-                EventVerdict.FORWARD -> {
-                    forward(record.bytes)
-                }
-
-                EventVerdict.DUPLICATE -> {
-                    Unit
-                }
-
-                EventVerdict.GAP -> {
-                    val faulty = first?.id
-                    abandonCall()
-                    onAttemptFailed(AttemptEnd.Unknown, "event_missing", faulty)
-                    return true
-                }
+                EventVerdict.FORWARD -> forward(record.bytes)
+                EventVerdict.DUPLICATE -> Unit
+                EventVerdict.GAP -> return onBadEvent("event_missing")
             }
         }
         return !framer.isOversized
     }
 
+    /** Ends the run whose next event cannot be forwarded; returns true, since its bytes are handled. */
+    private fun onBadEvent(reason: String): Boolean {
+        val faulty = first?.id
+        abandonCall()
+        onAttemptFailed(AttemptEnd.Unknown, reason, faulty)
+        return true
+    }
+
     private fun forward(event: ByteArray) {
         if (forwardedEvents == 0) {
             context.metrics.onAnswerBegun(elapsed(request.arrivedAt))
-            val first = checkNotNull(head)
-            exchange.beginRelay(first.status, context.headers.forCaller(first.headers))
+            beginAnswer(checkNotNull(head))
         }
         forwardedEvents++
+        hasJoined = true
         lastEventAt = monotonicNow()
         recordFirstEventLatency()
         path?.parts?.forEach { context.directory.onSuccess(it.endpoint.id, startedAt) }
@@ -202,6 +216,11 @@
         watchAttempt(context.times.eventTimeout, ::onStalled)
     }
 
+    private fun beginAnswer(head: ClientEvent.Head) {
+        continuation.onBegun(head)
+        exchange.beginRelay(head.status, context.headers.forCaller(head.headers))
+    }
+
     private fun recordFirstEventLatency() {
         if (!awaitsFirstEvent) return
         awaitsFirstEvent = false
@@ -238,11 +257,29 @@
         val first = first ?: return
         val failure = failureBody.toByteArray()
         when {
-            isRefusal(head) -> onRefused(head, first)
-            isStream() -> onStreamEnded(first.id)
-            !isDeliverable(head) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id)
-            answerBegun -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
-            else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
+            isRefusal(head) -> {
+                onRefused(head, first)
+            }
+
+            isStream() -> {
+                onStreamEnded(first.id)
+            }
+
+            !isDeliverable(head) -> {
+                onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id)
+            }
+
+            head.status in SUCCESS_FIRST..SUCCESS_LAST -> {
+                onAttemptFailed(AttemptEnd.Unknown, "not_a_continuation", first.id)
+            }
+
+            answerBegun -> {
+                onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { abort("endpoint_error") }
+            }
+
+            else -> {
+                onAttemptFailed(AttemptEnd.Failed, "endpoint_error", first.id) { deliverFailure(head, failure) }
+            }
         }
     }
 
@@ -252,7 +289,12 @@
             return
         }
         val current = checkNotNull(head)
-        if (forwardedEvents == 0) exchange.beginRelay(current.status, context.headers.forCaller(current.headers))
+        val isEmpty = !hasBody && continuation.hasExplicitEnd(current)
+        if (!hasJoined && !isEmpty) {
+            onAttemptFailed(AttemptEnd.Unknown, "no_events", first)
+            return
+        }
+        if (!answerBegun) beginAnswer(current)
         complete(current.status)
         exchange.endStream()
     }
@@ -285,7 +327,12 @@
     /** Whether the attempt may be abandoned for another one; a stream that cannot run again stays at its endpoint. */
     private fun canRestartElsewhere(): Boolean = call?.sent != true || mayReplaceAttempt()
 
-    /** Called when no event arrived in time; asks the path's first endpoint whether it waits for another one. */
+    /**
+     * Called when no event arrived in time; asks the path's first endpoint whether it waits for another one.
+     *
+     * A sound endpoint may be silent for a second or more. Silence alone ends an attempt only if another endpoint is
+     * free, since the stream may go on sooner where it is than at an endpoint that refuses it.
+     */
     private fun onStalled() {
         val target = first ?: return
         if (!exchange.isWritable) {
@@ -295,34 +342,64 @@
         recordFirstEventLatency()
         pollPaces()
         if (!canRestartElsewhere()) return
-        if (call?.sent != true || model == null) {
+        // A plain service cannot be asked; before its first event, another run at a free endpoint answers sooner.
+        val maxSilence = if (model == null && !answerBegun) Duration.ZERO else context.times.maxEventGap
+        val isSilent = elapsed(lastEventAt) >= maxSilence && hasAlternative(target.id, mustBeFree = true)
+        if (call?.sent != true || isSilent) {
             abandonAttempt(target.id)
             return
         }
+        watchAttempt(context.times.stallReportInterval, ::onStalled)
+        if (model != null) requestStallReport(target)
+    }
+
+    private fun requestStallReport(target: RelayEndpoint) {
         val reportedCall = call
         val forwardedBefore = forwardedEvents
-        val isCurrent = { !ended && call === reportedCall && forwardedEvents == forwardedBefore }
-        watchAttempt(context.times.stallReportInterval) {
-            val isGapExceeded = exchange.isWritable && elapsed(lastEventAt) >= context.times.maxEventGap
-            if (isGapExceeded) abandonAttempt(target.id) else onStalled()
-        }
         context.engines.stalledAt(target, request.id.value) { report ->
-            if (isCurrent()) {
-                EventLog.info(
-                    "stream makes no progress",
-                    "request" to request.id,
-                    "first" to target.id,
-                    "report" to report,
-                )
-                when (report) {
-                    is StallReport.WaitsFor -> onLost(context.directory.findByAddress(report.address)?.id ?: target.id)
-                    StallReport.Alive, StallReport.NotAsked -> Unit
-                    StallReport.NoAnswer -> onLost(target.id)
-                }
-            }
+            if (!ended && call === reportedCall && forwardedEvents == forwardedBefore) onStallReport(target, report)
+        }
+    }
+
+    private fun onStallReport(
+        target: RelayEndpoint,
+        report: StallReport,
+    ) {
+        EventLog.info(
+            "stream makes no progress",
+            "request" to request.id,
+            "first" to target.id,
+            "report" to report,
+        )
+        when (report) {
+            is StallReport.WaitsFor -> onLost(context.directory.findByAddress(report.address)?.id ?: target.id)
+            StallReport.Alive, StallReport.NotAsked -> Unit
+            StallReport.NoAnswer -> onSilent(target.id)
         }
     }
 
+    /** An engine without a stall report may be lost, or silent for a moment; it gets no new streams meanwhile. */
+    private fun onSilent(target: EndpointId) {
+        context.directory.onReportedLost(monotonicNow(), target)
+        if (!hasAlternative(target)) return
+        abandonAttempt(target)
+        context.streams.toList().forEach { if (it.hasAlternative(target)) it.onEndpointLost(target) }
+    }
+
+    /** Whether an endpoint, or a path, other than [silent] may take the stream; with [mustBeFree], below its limit. */
+    private fun hasAlternative(
+        silent: EndpointId,
+        mustBeFree: Boolean = !answerBegun,
+    ): Boolean {
+        val now = monotonicNow()
+        val others = context.directory.usable(now, request.service.id).filter { it.id != silent }
+        val canTake = { other: EndpointId ->
+            mayReceive(other) && (!mustBeFree || context.concurrency.canStart(now, other))
+        }
+        if (model == null) return others.any { it.id !in avoid && canTake(it.id) }
+        return context.paths.find(model, others, ::loadOf, avoid, ::pace, canTake) != null
+    }
+
     private fun onLost(faulty: EndpointId) {
         context.directory.onReportedLost(monotonicNow(), faulty)
         abandonAttempt(faulty)
@@ -344,26 +421,7 @@
         return context.load.utilization(model, accelerator, endpoint, layers)
     }
 
-    /** Returns the prompt tokens plus the smaller of the typical answer and the maximum that the caller allows. */
-    private fun requestTokens(): Int {
-        val parts = exchange.header(context.names.tokens)?.split(',').orEmpty()
-        val tokens = { index: Int ->
-            parts
-                .getOrNull(index)
-                ?.trim()
-                ?.toIntOrNull()
-                ?.coerceIn(0, MAX_TOKENS)
-        }
-        val usualAnswer = model?.typicalAnswerTokens ?: 0
-        val prompt = tokens(0) ?: model?.typicalPromptTokens ?: 0
-        val answer = tokens(1) ?: usualAnswer
-        return prompt + minOf(answer, usualAnswer)
-    }
-
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
-
-        /** More than any engine has memory for; keeps sums of callers' figures from overflowing. */
-        const val MAX_TOKENS = 10_000_000
     }
 }
