Keep layers that a model does not have out of paths and placement

What callers would see: one registration with layers beyond the model's, such as 0 to, takes the streams of its zone, since the cheapest path is the one through it alone, and each of them fails there. The layers that only it claims are not loaded elsewhere after a loss, so that the zone cannot serve alone.

Cause: a range that exceeds the model was used as far as the model goes, both for paths and for the coverage of a zone.

Evidence: with a foreign registration of the layers 0 to 81 of a model that has 80, PathFinderTest found a path with that endpoint as its only part, and LayerPlacerTest found 2 zones of 3 that can serve alone after the loss of an endpoint.

The path finder and the placer now leave out endpoints with a range that the model does not have.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/LayerPlacer.kt
@@ -46,7 +46,8 @@
     /**
      * Returns the orders to give now.
      *
-     * [planned] contains the ranges that were ordered but that the endpoints do not report yet.
+     * [planned] contains the ranges that were ordered but that the endpoints do not report yet. An endpoint with layers
+     * that the model does not have neither covers any nor receives an order.
      */
     public fun orders(
         model: ModelLayout,
@@ -54,8 +55,10 @@
         planned: Map<EndpointId, LayerRange>,
     ): List<LayerOrder> =
         endpoints
-            .filter { it.accelerator in model.accelerators }
-            .groupBy { it.zone }
+            .filter { endpoint ->
+                endpoint.accelerator in model.accelerators &&
+                    endpoint.layers?.let { it in model } != false
+            }.groupBy { it.zone }
             .toSortedMap(compareBy(ZoneId::value))
             .values
             .flatMap { zoneOrders(model, it, planned) }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/ModelLayout.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/ModelLayout.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.placement
 
+import oriolespindle.core.id.LayerRange
 import kotlin.time.Duration
 
 /** One kind of accelerator that runs layers of a model. */
@@ -31,6 +32,9 @@
     public val typicalPromptTokens: Int,
     public val typicalAnswerTokens: Int,
 ) {
+    /** Returns whether the model has all layers of [range]; a range of another model or of no model may exceed it. */
+    public operator fun contains(range: LayerRange): Boolean = range.end <= layers
+
     /** Returns the tokens that fit beside [held] layers on [accelerator]; negative if the layers do not fit. */
     public fun tokenCapacity(
         accelerator: Accelerator,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
@@ -58,7 +58,11 @@
         mayBeFirst: (EndpointId) -> Boolean = { true },
     ): LayerPath? {
         val costFactor = { endpoint: EndpointId -> loadFactor(load(endpoint)) * paceFactor(pace(endpoint)) }
-        val usable = endpoints.filter { it.layers != null && it.accelerator in model.accelerators && it.id !in avoid }
+        val usable =
+            endpoints.filter { endpoint ->
+                val hasLayers = endpoint.layers?.let { it in model } ?: false
+                hasLayers && endpoint.accelerator in model.accelerators && endpoint.id !in avoid
+            }
         val zones = usable.groupBy { it.zone }
         val own = zones[zone]?.let { shortest(model, it, costFactor, mayBeFirst) }
         val other =
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
@@ -163,4 +163,17 @@
 
         expectThat(given.none { it.endpoint.id == leaving.id }).isTrue()
     }
+
+    @Test
+    fun `guards against a registration with layers that the model does not have hiding a layer without a holder`() {
+        val placed = ModelFleet.placed()
+        for (layers in ModelFleet.foreignRanges) {
+            val foreign = ModelFleet.endpoint("foreign", "a", "large", layers)
+            for (lost in placed) {
+                var now = placed.filter { it.id != lost.id }
+                repeat(4) { now = ModelFleet.carryOut(now, orders(now + foreign)) }
+                expectThat(zonesWithAllLayers(now).size).isEqualTo(3)
+            }
+        }
+    }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/ModelFleet.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/ModelFleet.kt
@@ -29,6 +29,10 @@
             typicalAnswerTokens = 216,
         )
 
+    /** Ranges of layers, some of which [model] does not have. */
+    val foreignRanges =
+        listOf(LayerRange(0, 81), LayerRange(0, Int.MAX_VALUE), LayerRange(79, 81), LayerRange(200, 300))
+
     private val zones =
         mapOf(
             "a" to mapOf("large" to 1, "small" to 10, "slow" to 4),
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/PathFinderTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/PathFinderTest.kt
@@ -100,4 +100,14 @@
         expectThat(utilization > 0).isTrue()
         expectThat(load.utilization(model, accelerator, first.endpoint.id, first.layers.size)).isEqualTo(0.0)
     }
+
+    @Test
+    fun `guards against a path through a registration with layers that the model does not have`() {
+        val placed = ModelFleet.placed()
+        for (layers in ModelFleet.foreignRanges) {
+            val foreign = ModelFleet.endpoint("foreign", "a", "large", layers)
+
+            expectThat(find(placed + foreign)).isEqualTo(find(placed))
+        }
+    }
 }
