Treat a lease that lasts longer than a minute as invalid

What operators would see: a lease object of another writer with a duration of an hour, or with a number that is too large, stops the placement of layers until it is removed by hand, since every candidate waits for its end.

Cause: the duration in the stored lease was used as it is.

Evidence: LeaseHolderTest with a stored duration of 3,600,000 ms found no holder after 60 s. The durations of 2^63/10^6 and 2^63 ms follow it in the same test and were not reached before the fix.

A duration of more than a minute makes the value invalid; like any other invalid lease it is assumed to last for the candidate's own duration, 3 s for placement and 15 s for orders.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lease/LeaseValue.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lease/LeaseValue.kt
@@ -21,10 +21,13 @@
     public companion object {
         private val json = Json { ignoreUnknownKeys = true }
 
+        /** Longer than any instance holds a lease without renewing it; a longer wait would outlast every failure. */
+        private const val MAX_DURATION_MILLIS = 60_000L
+
         /** Parses the JSON text of a lease, or returns null if it is invalid. */
         public fun parseOrNull(text: String): LeaseValue? =
             try {
-                json.decodeFromString<LeaseValue>(text).takeIf { it.durationMillis > 0 }
+                json.decodeFromString<LeaseValue>(text).takeIf { it.durationMillis in 1..MAX_DURATION_MILLIS }
             } catch (e: SerializationException) {
                 null
             } catch (e: IllegalArgumentException) {
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lease/LeaseHolderTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lease/LeaseHolderTest.kt
@@ -1,6 +1,8 @@
 package oriolespindle.core.lease
 
 import org.junit.jupiter.api.Test
+import oriolespindle.core.config.Revision
+import oriolespindle.core.config.StoredObject
 import oriolespindle.core.id.InstanceId
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -189,4 +191,18 @@
         expectThat(fleet.holders()).hasSize(1)
         expectThat(leaving.mayAct()).isFalse()
     }
+
+    @Test
+    fun `guards against a lease of another writer that is never taken over or at once because of its duration`() {
+        for (durationMillis in listOf(3_600_000L, Long.MAX_VALUE / 1_000_000, Long.MAX_VALUE)) {
+            val fleet = LeaseFleet(seed = 1, size = 3)
+            val value = LeaseValue.encode(LeaseValue(InstanceId("other"), "other/1", durationMillis))
+            fleet.lease = StoredObject(LeaseSettings(InstanceId("any")).key, Revision(7), value)
+            fleet.time.run(10.seconds)
+            expectThat(fleet.holders()).isEmpty()
+
+            fleet.time.run(50.seconds)
+            expectThat(fleet.holders()).describedAs("a duration of $durationMillis ms").hasSize(1)
+        }
+    }
 }
