Repeat a periodic task that has thrown an Error

What operators would see: one overflow of the stack in a periodic task, for example in the placement of layers or the polls of slow engines, and that task never runs again in this process; nothing is logged.

Cause: the timer service caught Exception, and the executor drops whatever else a task throws together with its next run.

Evidence: TimerServiceTest with a task that throws a StackOverflowError had not three runs within 5 s on.

The timer service now logs any Throwable, so that the task runs again.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/TimerService.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/TimerService.kt
@@ -38,11 +38,11 @@
         task: () -> Unit,
     ): ScheduledFuture<*> = executor.schedule({ run(task) }, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
 
-    /** Catches all exceptions, since the executor would drop them and never run the task again. */
+    /** Catches whatever [task] throws, since the executor would drop it and never run the task again. */
     private fun run(task: () -> Unit) {
         try {
             task()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             EventLog.warn("timer task failed", "cause" to e, "at" to e.stackTrace.firstOrNull())
         }
     }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/runtime/TimerServiceTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/runtime/TimerServiceTest.kt
@@ -20,4 +20,17 @@
             expectThat(runs.await(5, TimeUnit.SECONDS)).isTrue()
         }
     }
+
+    @Test
+    fun `repeats a task that has overflowed the stack`() {
+        val runs = CountDownLatch(3)
+        TimerService().use { timers ->
+            timers.every(5.milliseconds) {
+                runs.countDown()
+                throw StackOverflowError()
+            }
+
+            expectThat(runs.await(5, TimeUnit.SECONDS)).isTrue()
+        }
+    }
 }
