Use the objects of the platform's API beside one that cannot be decoded

What operators would see: one object or instance of another writer that cannot be decoded, or whose value is nested very deeply, and the instances on the product's own platform read no list, do not learn of other instances, and open the same watch again and again.

Cause: as in the store client of the users' platform, a list was decoded as a whole, and one line of a watch that could not be decoded closed it, after which it was opened from the same revision. A deep value overflowed the stack while it was decoded or written out as text, in a callback that then had no result.

PlatformAnswers divides a list with JsonSlices and leaves out an item that cannot be decoded; a watch skips such an object. A value that is nested more than 64 deep is replaced by null, which no kind allows, so that the last valid version of the object stays in force and the fault is listed where faults of objects are.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
@@ -1,6 +1,5 @@
 package oriolespindle.router.platform
 
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
@@ -26,7 +25,7 @@
     ) {
         onCall("get")
         val request = ClientRequest(address, "GET", objectUri(kind, name))
-        call(request, PlatformObject.serializer(), result)
+        call(request, PlatformAnswers::item, result)
     }
 
     /** Creates the object if [expectedVersion] is null, otherwise replaces exactly that version. */
@@ -49,7 +48,7 @@
                 body = body,
                 headers = listOf(condition),
             )
-        call(request, PlatformObject.serializer(), result)
+        call(request, PlatformAnswers::item, result)
     }
 
     fun delete(
@@ -61,7 +60,7 @@
         onCall("delete")
         val headers = listOf("If-Match" to expectedVersion.toString())
         val request = ClientRequest(address, "DELETE", objectUri(kind, name), headers = headers)
-        call(request, PlatformObject.serializer(), result)
+        call(request, PlatformAnswers::item, result)
     }
 
     fun list(
@@ -70,12 +69,12 @@
     ) {
         onCall("list")
         val request = ClientRequest(address, "GET", "/v1/objects?kinds=${kinds.joinToString(",")}")
-        call(request, PlatformList.serializer(), result)
+        call(request, PlatformAnswers::list, result)
     }
 
     fun listInstances(result: (PlatformResult<PlatformInstanceList>) -> Unit) {
         onCall("instances")
-        call(ClientRequest(address, "GET", "/v1/instances"), PlatformInstanceList.serializer(), result)
+        call(ClientRequest(address, "GET", "/v1/instances"), PlatformAnswers::instances, result)
     }
 
     fun register(
@@ -83,7 +82,7 @@
         result: (Boolean) -> Unit,
     ) {
         onCall("register")
-        val body = json.encodeToString(PlatformInstance.serializer(), instance).toByteArray()
+        val body = Json.encodeToString(PlatformInstance.serializer(), instance).toByteArray()
         val request = ClientRequest(address, "PUT", "/v1/instances/${encode(instance.id)}", body = body)
         http.call(request, timeout) { result(it is HttpOutcome.Response && it.status in SUCCESS) }
     }
@@ -102,13 +101,13 @@
 
     private fun <T> call(
         request: ClientRequest,
-        serializer: KSerializer<T>,
+        decode: (String) -> T,
         result: (PlatformResult<T>) -> Unit,
     ) {
         http.call(request, timeout) { outcome ->
             result(
                 when (outcome) {
-                    is HttpOutcome.Response -> toResult(request, outcome, serializer)
+                    is HttpOutcome.Response -> toResult(request, outcome, decode)
                     HttpOutcome.NotSent -> PlatformResult.Unavailable(mayBeApplied = false)
                     HttpOutcome.Lost -> unavailable(request)
                 },
@@ -119,11 +118,11 @@
     private fun <T> toResult(
         request: ClientRequest,
         response: HttpOutcome.Response,
-        serializer: KSerializer<T>,
+        decode: (String) -> T,
     ): PlatformResult<T> =
         when (response.status) {
             in SUCCESS -> {
-                decode(serializer, response.text)?.let { PlatformResult.Ok(it) } ?: PlatformResult.Unavailable(true)
+                decodeOrNull(response.text, decode)?.let { PlatformResult.Ok(it) } ?: PlatformResult.Unavailable(true)
             }
 
             NOT_FOUND -> {
@@ -132,7 +131,7 @@
 
             // The platform returns version 0 for an object that does not exist.
             PRECONDITION_FAILED -> {
-                PlatformResult.Conflict(decode(PlatformObject.serializer(), response.text)?.takeIf { it.version > 0 })
+                PlatformResult.Conflict(decodeOrNull(response.text, PlatformAnswers::item)?.takeIf { it.version > 0 })
             }
 
             else -> {
@@ -142,12 +141,12 @@
 
     private fun unavailable(request: ClientRequest) = PlatformResult.Unavailable(mayBeApplied = request.method != "GET")
 
-    private fun <T> decode(
-        serializer: KSerializer<T>,
+    private fun <T> decodeOrNull(
         text: String,
+        decode: (String) -> T,
     ): T? =
         try {
-            json.decodeFromString(serializer, text)
+            decode(text)
         } catch (_: SerializationException) {
             null
         }
@@ -159,10 +158,9 @@
 
     private fun encode(segment: String): String = URLEncoder.encode(segment, Charsets.UTF_8).replace("+", "%20")
 
-    internal companion object {
-        val json: Json = Json { ignoreUnknownKeys = true }
-        private val SUCCESS = 200..299
-        private const val NOT_FOUND = 404
-        private const val PRECONDITION_FAILED = 412
+    private companion object {
+        val SUCCESS = 200..299
+        const val NOT_FOUND = 404
+        const val PRECONDITION_FAILED = 412
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/Watch.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/Watch.kt
@@ -46,7 +46,7 @@
 
     private fun decode(line: String): WatchLine? =
         try {
-            PlatformClient.json.decodeFromString(WatchLine.serializer(), line)
+            PlatformAnswers.watchLine(line)
         } catch (_: SerializationException) {
             null
         }
