--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -99,12 +99,18 @@
                     is ClientEvent.End -> {
                         val bytes = body.toByteArray()
                         body.clear()
-                        result(HttpOutcome.Response(status, bytes))
+                        result(if (isOversized) HttpOutcome.TooLarge else HttpOutcome.Response(status, bytes))
                     }
 
                     is ClientEvent.Failed -> {
                         body.clear()
-                        result(if (event.sent) HttpOutcome.Lost else HttpOutcome.NotSent)
+                        result(
+                            when {
+                                isOversized -> HttpOutcome.TooLarge
+                                event.sent -> HttpOutcome.Lost
+                                else -> HttpOutcome.NotSent
+                            },
+                        )
                     }
                 }
                 true
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpOutcome.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpOutcome.kt
@@ -10,6 +10,9 @@
         public val text: String get() = body.decodeToString()
     }
 
+    /** The response is larger than the client collects; the request may have been executed. */
+    public data object TooLarge : HttpOutcome
+
     /** No byte of the request left this instance. */
     public data object NotSent : HttpOutcome
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/order/EngineOrders.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/order/EngineOrders.kt
@@ -98,7 +98,7 @@
         when (outcome) {
             is HttpOutcome.Response -> toAnswer(outcome)
             HttpOutcome.NotSent -> OrderAnswer.NotSent
-            HttpOutcome.Lost -> OrderAnswer.Unconfirmed
+            HttpOutcome.Lost, HttpOutcome.TooLarge -> OrderAnswer.Unconfirmed
         }
 
     private fun toAnswer(response: HttpOutcome.Response): OrderAnswer {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/PlatformClient.kt
@@ -109,7 +109,7 @@
                 when (outcome) {
                     is HttpOutcome.Response -> toResult(request, outcome, decode)
                     HttpOutcome.NotSent -> PlatformResult.Unavailable(mayBeApplied = false)
-                    HttpOutcome.Lost -> unavailable(request)
+                    HttpOutcome.Lost, HttpOutcome.TooLarge -> unavailable(request)
                 },
             )
         }
