--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/placement/LayerPlacerTest.kt
@@ -177,4 +177,17 @@
 
         expectThat(orderCounts.max()).isGreaterThan(0)
     }
+
+    @Test
+    fun `guards against a registration with layers that the model does not have hiding a layer without a holder`() {
+        val placed = ModelFleet.placed()
+        for (layers in ModelFleet.foreignRanges) {
+            val foreign = ModelFleet.endpoint("foreign", "a", "large", layers)
+            for (lost in placed) {
+                var now = placed.filter { it.id != lost.id }
+                repeat(4) { now = ModelFleet.carryOut(now, orders(now + foreign)) }
+                expectThat(zonesWithAllLayers(now).size).isEqualTo(3)
+            }
+        }
+    }
 }
