Judge late requests without trusting callers' estimates, and bound retries by the end of the instance

One caller with a small estimate of its answer's length made the longest answer of its route look a hundred times longer, so that others were refused for 64 answers; a huge one was refused at any time. An estimate can now only lower what is expected. A route with fewer than 8 answers is judged by its service, requests in progress count as long as they have taken, and requests that callers may not repeat need the strict condition from the signal on. Nothing is begun once no time is left. Retries and resumptions of a stopping instance were decided, and sent, with deadlines beyond its end; both end with it now. An error while one request is ended no longer keeps the others from being ended.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -41,7 +41,7 @@
         public val idleFor: Duration,
     ) : ShutdownAction
 
-    /** End every request in flight with an answer that is true, since the process is about to be killed. */
+    /** End every request in flight, since the process is about to be killed; tell callers whether it may have run. */
     public data object EndRequests : ShutdownAction
 
     /** Exit the process; no request is in flight and no new one can arrive, or the process is about to be killed. */
@@ -56,7 +56,7 @@
  * longest wait for a load balancer that ignores readiness. A connection is closed only after it was idle for [idleFor],
  * because a request is more likely to be in transit on a connection that was used recently.
  *
- * The platform kills the process once [grace] has passed since the shutdown was requested; with null it waits for ever.
+ * The platform kills the process once [grace] has passed since the shutdown was requested; with null it never does.
  * Requests that are still in flight [endReserve] before that are ended.
  */
 public data class ShutdownSettings(
@@ -76,8 +76,8 @@
 }
 
 /**
- * Graceful shutdown of an instance: it stops accepting connections and exits once all requests have finished, or shortly
- * before the platform kills it. [LateRequestPolicy] decides which requests are still accepted meanwhile.
+ * Graceful shutdown of an instance: it stops accepting connections and exits once all requests have finished, or
+ * shortly before the platform kills it. [LateRequestPolicy] decides which requests are still accepted meanwhile.
  */
 public class InstanceShutdown(
     private val settings: ShutdownSettings = ShutdownSettings(),
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/LateRequestPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/LateRequestPolicy.kt
@@ -25,9 +25,9 @@
 /**
  * Decides which requests an instance accepts during its shutdown.
  *
- * Until the load balancer has moved its traffic, a request is accepted if its answer is more likely than not to be complete
- * in time: a refusal costs every caller a retry, and a caller whose answer is cut off needs no more than that.
- * Afterwards only few requests arrive, and one is accepted only if its answer is as good as certain to be complete.
+ * Until the load balancer has moved its traffic, a request that callers may repeat is accepted if the median answer
+ * fits into the time that is left: a refusal costs each of these callers a retry, and so does an answer that is cut.
+ * Afterwards, and for requests that callers may not repeat, the longest recent answer must fit in with a margin.
  */
 public class LateRequestPolicy(
     private val settings: LateRequestSettings = LateRequestSettings(),
@@ -36,17 +36,20 @@
      * Returns whether a request is accepted that arrives [stoppingFor] after the shutdown was requested and [timeLeft]
      * before requests in flight are ended; a null [timeLeft] means that they never are.
      *
-     * A null [expected] means that nothing is known about the duration of such answers.
+     * A null [expected] means that nothing is known about the duration of such answers. [mayRepeat] tells whether the
+     * caller may send the request again after its answer was cut off.
      */
     public fun accepts(
         stoppingFor: Duration,
         timeLeft: Duration?,
         expected: AnswerDuration?,
+        mayRepeat: Boolean,
     ): Boolean {
         if (timeLeft == null) return true
-        val isRedirected = stoppingFor >= settings.redirectedAfter
-        if (expected == null) return !isRedirected
-        val needed = if (isRedirected) expected.longest * settings.longestFactor else expected.median
+        if (timeLeft <= Duration.ZERO) return false
+        val isStrict = stoppingFor >= settings.redirectedAfter
+        if (expected == null) return !isStrict
+        val needed = if (isStrict || !mayRepeat) expected.longest * settings.longestFactor else expected.median
         return needed <= timeLeft
     }
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AnswerDurations.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AnswerDurations.kt
@@ -9,12 +9,15 @@
 /**
  * Remembers how long recent answers took, by route.
  *
- * Where callers estimate the lengths of their answers, durations are remembered in proportion to these estimates. A route
- * without answers is estimated by the answers of its service on all routes.
+ * Where callers estimate the lengths of their answers, durations are also remembered in proportion to these estimates,
+ * which are often far off. An estimate can only lower what is expected without it, so that no caller's estimate counts
+ * against the requests of others. A route with few answers is judged by the answers of its service on all routes.
  */
 public class AnswerDurations(
     /** The number of answers that are remembered for each route and each service. */
     private val window: Int = 64,
+    /** The number of answers of a route below which those of its service are used. */
+    private val minAnswers: Int = 8,
 ) {
     private data class Key(
         val route: String?,
@@ -22,39 +25,42 @@
         val isScaled: Boolean,
     )
 
-    /** Milliseconds of each answer, for each unit of the estimated length if there is one. */
+    /** Milliseconds of each answer, for each unit of the estimated length if the key is scaled. */
     private val recent = HashMap<Key, ArrayDeque<Double>>()
 
     /**
      * Records an answer on [route] by [service], or a request that ended without one, which took [duration].
      *
-     * [estimatedLength] is the caller's estimate of the answer's length in any unit; null if it gave none.
+     * [estimatedTokens] is the caller's estimate of the answer's length; it is ignored if it is null or not positive.
      */
     public fun onEnded(
         route: String,
         service: ServiceId,
         duration: Duration,
-        estimatedLength: Int? = null,
+        estimatedTokens: Int? = null,
     ) {
-        val millis = duration.toDouble(DurationUnit.MILLISECONDS) / scale(estimatedLength)
-        for (key in keys(route, service, estimatedLength)) {
-            val durations = recent.getOrPut(key, ::ArrayDeque)
-            if (durations.size == window) durations.removeFirst()
-            durations.addLast(millis)
+        val millis = duration.toDouble(DurationUnit.MILLISECONDS)
+        for (key in listOf(Key(route, service, isScaled = false), Key(null, service, isScaled = false))) {
+            add(key, millis)
+            if (estimatedTokens != null && estimatedTokens > 0) add(key.copy(isScaled = true), millis / estimatedTokens)
         }
     }
 
-    /** Returns how long an answer takes; null if nothing is known about such answers of [service]. */
+    /** Returns how long an answer takes; null if nothing is known about answers of [service]. */
     public fun expected(
         route: String,
         service: ServiceId,
-        estimatedLength: Int? = null,
+        estimatedTokens: Int? = null,
     ): AnswerDuration? {
-        val known = keys(route, service, estimatedLength).firstNotNullOfOrNull { recent[it] } ?: return null
-        val sorted = known.sorted()
-        val median = sorted[sorted.size / 2]
-        val scale = scale(estimatedLength)
-        return AnswerDuration(median = (median * scale).milliseconds, longest = (sorted.last() * scale).milliseconds)
+        val plain = known(route, service, isScaled = false)?.sorted() ?: return null
+        val unscaled = AnswerDuration(median(plain).milliseconds, plain.last().milliseconds)
+        val tokens = estimatedTokens?.takeIf { it > 0 } ?: return unscaled
+        val scaled =
+            known(route, service, isScaled = true)?.takeIf { it.size >= minAnswers }?.sorted() ?: return unscaled
+        return AnswerDuration(
+            median = minOf(unscaled.median, (median(scaled) * tokens).milliseconds),
+            longest = minOf(unscaled.longest, (scaled.last() * tokens).milliseconds),
+        )
     }
 
     /** Forgets the routes that are not in [routes] and the services that are not in [services]. */
@@ -65,11 +71,23 @@
         recent.keys.retainAll { it.service in services && (it.route == null || it.route in routes) }
     }
 
-    private fun keys(
+    private fun add(
+        key: Key,
+        value: Double,
+    ) {
+        val values = recent.getOrPut(key, ::ArrayDeque)
+        if (values.size == window) values.removeFirst()
+        values.addLast(value)
+    }
+
+    private fun known(
         route: String,
         service: ServiceId,
-        estimatedLength: Int?,
-    ): List<Key> = listOf(route, null).map { Key(it, service, isScaled = estimatedLength != null) }
+        isScaled: Boolean,
+    ): List<Double>? {
+        val ofRoute = recent[Key(route, service, isScaled)]
+        return if (ofRoute != null && ofRoute.size >= minAnswers) ofRoute else recent[Key(null, service, isScaled)]
+    }
 
-    private fun scale(estimatedLength: Int?): Int = estimatedLength?.coerceAtLeast(1) ?: 1
+    private fun median(sorted: List<Double>): Double = sorted[sorted.size / 2]
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/LateRequestPolicyTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/LateRequestPolicyTest.kt
@@ -18,7 +18,8 @@
         stoppingFor: Duration,
         expected: AnswerDuration?,
         endAfter: Duration? = 7_700.milliseconds,
-    ) = policy.accepts(stoppingFor, endAfter?.minus(stoppingFor), expected)
+        mayRepeat: Boolean = true,
+    ) = policy.accepts(stoppingFor, endAfter?.minus(stoppingFor), expected, mayRepeat)
 
     @Test
     fun `an answer that is likely to be complete is begun until the load balancer has moved its traffic`() {
@@ -41,6 +42,18 @@
         expectThat(accepts(2.5.seconds, expected = null)).isFalse()
     }
 
+    @Test
+    fun `an answer that cannot be asked for again is begun only if the longest one fits in`() {
+        expectThat(accepts(1.seconds, stream, mayRepeat = false)).isFalse()
+        expectThat(accepts(1.seconds, call, mayRepeat = false)).isTrue()
+    }
+
+    @Test
+    fun `nothing is begun when no time is left`() {
+        expectThat(accepts(1.seconds, expected = null, endAfter = 1.seconds)).isFalse()
+        expectThat(accepts(2.seconds, expected = call, endAfter = 1.seconds)).isFalse()
+    }
+
     @Test
     fun `every request is accepted if the process is not killed`() {
         expectThat(accepts(60.seconds, stream, endAfter = null)).isTrue()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -187,7 +187,7 @@
             }
 
             is ShutdownAction.EndRequests -> {
-                error("this instance has no grace period")
+                callerServer.closeConnections()
             }
 
             is ShutdownAction.Exit -> {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -71,6 +71,11 @@
         connections.forEach { it.pipeline().fireUserEventTriggered(CloseWhenIdle(idleFor)) }
     }
 
+    /** Closes all connections, also those with requests in progress. */
+    fun closeConnections() {
+        connections.close()
+    }
+
     /**
      * Stops accepting connections, after those that are already established have been accepted.
      *
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
@@ -5,6 +5,7 @@
 import oriolespindle.core.lifecycle.ShutdownAction
 import oriolespindle.core.lifecycle.ShutdownEvent
 import oriolespindle.core.lifecycle.ShutdownSettings
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
 import kotlin.time.Duration
@@ -33,6 +34,10 @@
     val timeLeft: Duration?
         @Synchronized get() = stateMachine.timeLeft(monotonicNow())
 
+    /** When requests in flight are ended; null before the shutdown or if they may take any time. */
+    val endAt: Timestamp?
+        get() = timeLeft?.let { monotonicNow() + it }
+
     /** The number of requests in flight, including those that have not arrived completely. */
     val requestsInFlight: Int
         @Synchronized get() = stateMachine.requestsInFlight
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -66,6 +66,7 @@
         objects: SharedObjects,
     ): RelayAddresses {
         context.engines = GatedEngines(engines, context.directory)
+        context.requestsEndAt = { shutdown.endAt }
         context.pacePoller.start()
         registerGauges()
         val addresses =
@@ -235,7 +236,7 @@
             }
 
             ShutdownAction.StopAccepting -> {
-                EventLog.info("listener closed", *loadFields())
+                EventLog.info("closing the listener", *loadFields())
                 callers.stopAccepting()
             }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -13,6 +13,7 @@
 import oriolespindle.core.relay.RefusalSharing
 import oriolespindle.core.relay.ServiceBudgets
 import oriolespindle.core.relay.SharedRefusal
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.HttpClient
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
@@ -60,6 +61,9 @@
     /** The requests in progress. */
     val sessions = LinkedHashSet<RelaySession>()
 
+    /** Returns when the instance ends all requests because it is about to be killed; null unless it stops. */
+    var requestsEndAt: () -> Timestamp? = { null }
+
     /** The streams in progress. */
     val streams = LinkedHashSet<StreamSession>()
     lateinit var engines: EngineCalls
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -2,6 +2,7 @@
 
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
+import oriolespindle.core.lifecycle.AnswerDuration
 import oriolespindle.core.lifecycle.LateRequestPolicy
 import oriolespindle.core.lifecycle.LateRequestSettings
 import oriolespindle.core.relay.RelayConfiguration
@@ -28,7 +29,12 @@
 
     /** Handles a complete request of a caller. */
     fun onRequest(exchange: ServerExchange) {
-        if (context.isInitialized) serve(exchange, arrivedAt = monotonicNow()) else startup.hold(exchange)
+        val hasNoTime = shutdown.timeLeft?.let { it <= Duration.ZERO } ?: false
+        when {
+            context.isInitialized -> serve(exchange, arrivedAt = monotonicNow())
+            hasNoTime -> refuseAtStart(exchange)
+            else -> startup.hold(exchange)
+        }
     }
 
     /** Serves the requests that have waited for the configuration and the endpoints, once both are there. */
@@ -39,7 +45,10 @@
     /** Ends all requests, since the process is about to be killed. */
     fun endRequests() {
         startup.refuseAll()
-        context.sessions.toList().forEach { it.onInstanceStops() }
+        for (session in context.sessions.toList()) {
+            // An unexpected error of one request must not cut off the others without an answer.
+            runCatching(session::onInstanceStops).onFailure { EventLog.warn("request was not ended", "cause" to it) }
+        }
     }
 
     private fun refuseAtStart(exchange: ServerExchange) {
@@ -114,8 +123,8 @@
         stoppingFor: Duration,
     ): Boolean {
         val timeLeft = shutdown.timeLeft
-        val expected = context.durations.expected(request.route.name, request.service.id, request.estimatedTokens)
-        val isAccepted = lateRequestPolicy.accepts(stoppingFor, timeLeft, expected)
+        val expected = expectedDuration(request)
+        val isAccepted = lateRequestPolicy.accepts(stoppingFor, timeLeft, expected, request.route.isRetryable)
         EventLog.info(
             "request arrived during the shutdown",
             "request" to request.id,
@@ -131,6 +140,13 @@
         return isAccepted
     }
 
+    /** A request in progress shows that answers take at least as long as it has taken so far. */
+    private fun expectedDuration(request: RelayRequest): AnswerDuration? {
+        val ended = context.durations.expected(request.route.name, request.service.id, request.estimatedTokens)
+        val oldest = context.sessions.maxOfOrNull { it.age(request.route) } ?: return ended
+        return ended?.let { it.copy(longest = maxOf(it.longest, oldest)) }
+    }
+
     private fun key(exchange: ServerExchange): String? {
         val authorization = exchange.header("Authorization") ?: return null
         val scheme = authorization.substringBefore(' ')
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -7,6 +7,7 @@
 import oriolespindle.core.relay.AttemptEnd
 import oriolespindle.core.relay.AttemptHistory
 import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.relay.Route
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.Address
 import oriolespindle.router.http.ClientCall
@@ -39,6 +40,20 @@
     private var expiryTimer: ScheduledFuture<*>? = null
     private var attemptTimer: ScheduledFuture<*>? = null
 
+    /** When the request ends at the latest; an instance that stops ends it before it is killed. */
+    protected val expiry: Timestamp
+        get() = context.requestsEndAt()?.let { minOf(it, request.expiry) } ?: request.expiry
+
+    /** How long the request has taken so far if it is on [route], else zero. */
+    fun age(route: Route): Duration =
+        if (request.route.name ==
+            route.name
+        ) {
+            elapsed(request.arrivedAt)
+        } else {
+            Duration.ZERO
+        }
+
     /** Starts the first attempt, or refuses the request if its deadline has passed. */
     fun start() {
         exchange.onClosed = ::onCallerDisconnected
@@ -111,7 +126,7 @@
         listener: (ClientEvent) -> Unit,
     ) {
         val names = context.names
-        val remaining = request.expiry - monotonicNow()
+        val remaining = expiry - monotonicNow()
         val ownHeaders =
             headers + (names.deadline to remaining.inWholeMilliseconds.coerceAtLeast(1).toString()) +
                 (names.expectedEndpoint to endpoint.id.value)
@@ -125,7 +140,7 @@
                 headers = request.team?.let { ownHeaders + (names.team to it.value) } ?: ownHeaders,
                 maxIdle = maxIdle,
                 connections = connections,
-                notAfter = request.expiry,
+                notAfter = expiry,
                 isWanted = { receivers.all { context.directory.isInUse(monotonicNow(), it) } },
                 isAnswer = ::isAnswer,
                 isReusableAfter = ::bearsId,
@@ -183,7 +198,7 @@
                 service = request.service.id,
                 history = history,
                 end = end,
-                expiry = request.expiry,
+                expiry = expiry,
                 canResend = canResend(),
                 answerBegun = answerBegun,
             )
@@ -259,7 +274,7 @@
         reason: String,
     ) = watchAttempt(delay) {
         val service = request.service.id
-        perform(context.policy.decideResumption(monotonicNow(), service, history, request.expiry), reason)
+        perform(context.policy.decideResumption(monotonicNow(), service, history, expiry), reason)
     }
 
     /** Whether the attempt in progress, which may have run, may be replaced; otherwise its answer is awaited. */
@@ -269,7 +284,7 @@
             route = request.route,
             service = request.service.id,
             history = history,
-            expiry = request.expiry,
+            expiry = expiry,
             canResend = canResend(),
         )
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RequestCutAtShutdownTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RequestCutAtShutdownTest.kt
@@ -60,7 +60,7 @@
     }
 
     @Test
-    fun `a short request is served until shortly before the end`() {
+    fun `a short request is served during the shutdown`() {
         val relay =
             serve(
                 RouteKind.NON_IDEMPOTENT,
