Exit as soon as no connection is left, and leave more time before the kill

It waited for an idle second in case that a request was in transit, also when no connection could carry one, and 0.15 s were too few to end.

A shutdown counts connections now and exits at once when none is left and the listener is closed; requests are ended 0.5 s instead of 0.3 s before the kill.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -14,6 +14,9 @@
     /** A caller opened a connection, so the load balancer still sends traffic. */
     public data object ConnectionOpened : ShutdownEvent
 
+    /** A connection that a caller had opened was closed. */
+    public data object ConnectionClosed : ShutdownEvent
+
     /** The first byte of a request has arrived. */
     public data class RequestStarted(
         public val request: RequestId,
@@ -65,7 +68,7 @@
     public val acceptAtMost: Duration = 60.seconds,
     public val idleFor: Duration = 1.seconds,
     public val grace: Duration? = null,
-    public val endReserve: Duration = 300.milliseconds,
+    public val endReserve: Duration = 500.milliseconds,
 ) {
     /** How long after the request of the shutdown requests in flight are ended; null if they may take any time. */
     internal val endAfter: Duration? get() = grace?.let { maxOf(Duration.ZERO, it - endReserve) }
@@ -85,6 +88,7 @@
     private enum class Phase { RUNNING, UNREADY, CLOSING, ENDING, ENDED }
 
     private val inFlight = HashSet<RequestId>()
+    private var openConnections = 0
     private var phase = Phase.RUNNING
     private var requestedAt = Timestamp.ZERO
     private var lastConnectionAt = Timestamp.ZERO
@@ -111,6 +115,7 @@
         when (event) {
             ShutdownEvent.Requested -> onRequested(now)
             ShutdownEvent.ConnectionOpened -> onConnectionOpened(now)
+            ShutdownEvent.ConnectionClosed -> onConnectionClosed()
             is ShutdownEvent.RequestStarted -> onRequestStarted(now, event.request)
             is ShutdownEvent.RequestFinished -> onRequestFinished(now, event.request)
             ShutdownEvent.Tick -> onTick(now)
@@ -123,7 +128,13 @@
         return listOf(ShutdownAction.ReportUnready)
     }
 
+    private fun onConnectionClosed(): List<ShutdownAction> {
+        openConnections--
+        return emptyList()
+    }
+
     private fun onConnectionOpened(now: Timestamp): List<ShutdownAction> {
+        openConnections++
         lastConnectionAt = now
         lastActivityAt = now
         return emptyList()
@@ -196,7 +207,8 @@
     }
 
     /** Connections that were used less than [ShutdownSettings.idleFor] ago are still open and may carry a request. */
-    private fun canExit(now: Timestamp): Boolean = inFlight.isEmpty() && now - lastActivityAt > settings.idleFor
+    private fun canExit(now: Timestamp): Boolean =
+        inFlight.isEmpty() && (openConnections == 0 || now - lastActivityAt > settings.idleFor)
 
     private fun exit(): List<ShutdownAction> {
         phase = Phase.ENDED
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -252,6 +252,8 @@
     private inner class CallerObserver : ConnectionObserver {
         override fun onOpened() = shutdown.onConnectionOpened()
 
+        override fun onClosed() = shutdown.onConnectionClosed()
+
         override fun onRequestStarted(request: RequestId) = shutdown.onWorkStarted(request)
 
         override fun onRequestFinished(request: RequestId) = shutdown.onWorkFinished(request)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
@@ -13,6 +13,8 @@
 internal interface ConnectionObserver {
     fun onOpened() = Unit
 
+    fun onClosed() = Unit
+
     /** The first byte of a request has arrived. */
     fun onRequestStarted(request: RequestId) = Unit
 
@@ -94,6 +96,7 @@
         timeout?.cancel(false)
         if (phase != Phase.IDLE) observer.onRequestFinished(requestId())
         phase = Phase.IDLE
+        observer.onClosed()
         ctx.fireChannelInactive()
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
@@ -49,6 +49,8 @@
 
     fun onConnectionOpened() = handle(ShutdownEvent.ConnectionOpened)
 
+    fun onConnectionClosed() = handle(ShutdownEvent.ConnectionClosed)
+
     /** Registers work that must end before the instance stops: a request, or storing the outcome of a claimed call. */
     fun onWorkStarted(id: RequestId) = handle(ShutdownEvent.RequestStarted(id))
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -277,6 +277,8 @@
     private inner class CallerObserver : ConnectionObserver {
         override fun onOpened() = shutdown.onConnectionOpened()
 
+        override fun onClosed() = shutdown.onConnectionClosed()
+
         override fun onRequestStarted(request: RequestId) = shutdown.onWorkStarted(request)
 
         override fun onRequestFinished(request: RequestId) = shutdown.onWorkFinished(request)
