Keep a stalled stream at its endpoint when no retry is left for it

Cause: a stalled stream asks its engine what it waits for only while the retry budget has a retry, but abandoned its attempt on the report whether or not one was still left.

The attempt is abandoned only if it may be replaced when the report arrives; otherwise the stream waits, as it does when the budget is empty before.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -10,6 +10,7 @@
 import oriolespindle.core.relay.RegistrationChange
 import oriolespindle.core.relay.RelayConfiguration
 import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.relay.ServiceBudgets
 import oriolespindle.router.http.Address
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.http.ConnectionObserver
@@ -57,6 +58,8 @@
     private val isReady: Boolean
         get() = shutdown.isReady && context.isInitialized
 
+    internal val budgets: ServiceBudgets get() = context.budgets
+
     /** Whether this instance holds the placement lease and may order engines to load layers. */
     public val holdsPlacementLease: Boolean get() = placement?.holdsLease ?: false
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -381,7 +381,7 @@
     /** An engine without a stall report may be lost, or silent for a moment; it gets no new streams meanwhile. */
     private fun onSilent(target: EndpointId) {
         context.directory.onReportedLost(monotonicNow(), target)
-        if (!hasAlternative(target)) return
+        if (!hasAlternative(target) || !canRestartElsewhere()) return
         abandonAttempt(target)
         context.streams.toList().forEach { if (it.hasAlternative(target)) it.onEndpointLost(target) }
     }
@@ -402,7 +402,8 @@
 
     private fun onLost(faulty: EndpointId) {
         context.directory.onReportedLost(monotonicNow(), faulty)
-        abandonAttempt(faulty)
+        // Other streams may have used up the retry budget while the report was awaited.
+        if (canRestartElsewhere()) abandonAttempt(faulty)
         context.streams.toList().forEach { it.onEndpointLost(faulty) }
     }
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -21,6 +21,7 @@
 import oriolespindle.core.relay.RouteTarget
 import oriolespindle.core.relay.ServiceBudgetSettings
 import oriolespindle.router.http.Address
+import oriolespindle.router.runtime.monotonicNow
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
@@ -32,6 +33,7 @@
 internal class RelayFixture(
     private val shutdown: ShutdownSettings =
         ShutdownSettings(100.milliseconds, 50.milliseconds, 200.milliseconds, 50.milliseconds),
+    private val retryBurst: Int = 1_000,
 ) : AutoCloseable {
     val stopped = CountDownLatch(1)
     private val relay = Relay(settings()) { stopped.countDown() }
@@ -44,6 +46,10 @@
     @Volatile
     var stallReport: StallReport = StallReport.Alive
 
+    /** Called before each stall report is delivered. */
+    @Volatile
+    var beforeStallReport: () -> Unit = {}
+
     /** The pace that each engine reports, by endpoint name; an engine that is absent reports none. */
     val paces: MutableMap<String, Double> = ConcurrentHashMap()
 
@@ -69,6 +75,11 @@
 
     fun shutDown() = onLoop { relay.shutDown() }
 
+    /** Uses up the retry budget; must be called on the event loop. */
+    fun spendRetries() {
+        while (relay.budgets.takeRetry(monotonicNow(), ServiceId("s"))) Unit
+    }
+
     fun connect(): RawCaller = RawCaller(Socket(addresses.callers.host, addresses.callers.port))
 
     /** Sends one request on a new connection and returns everything received until it closes. */
@@ -107,7 +118,7 @@
             metrics = null,
             refusals = anyPort,
             headerNames = names,
-            budgets = ServiceBudgetSettings(ratio = 0.2, burst = 1_000),
+            budgets = ServiceBudgetSettings(ratio = 0.2, burst = retryBurst),
             maxConnections = 100,
             shutdown = shutdown,
             times = RelayTimes(),
@@ -138,7 +149,10 @@
             first: RelayEndpoint,
             requestId: String,
             result: (StallReport) -> Unit,
-        ) = result(stallReport)
+        ) {
+            beforeStallReport()
+            result(stallReport)
+        }
     }
 
     private object UnavailableObjects : SharedObjects {
