Accept late requests only if their own time limit ends before the instance

The record is of code before. The class was still there on: a late request was accepted if 1.25 times the longest of the last 64 answers fitted into the time that was left, in proportion to the caller's own estimate of the length if that was lower. Nothing bounds an answer by those before it.

Fix: once the load balancer has moved its traffic, a request is accepted only if the caller's deadline or the route's timeout ends before the instance ends requests, which no answer can outlast. Such a request is now accepted at any time. Before that, the share of recent answers that would have been complete in time decides, as the median did; requests whose callers left count with the time they had taken, which they did not, and requests in progress that have taken longer count as longer answers. Estimates of callers are no longer read.

The tests of the median, the longest answer and the estimates are replaced, since these are gone: a forecast that fits is no longer enough after 2.5 s, so "calls of 20 ms with a limit of 20 s" are now expected to be refused there.

--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/LateRequestPolicyTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/LateRequestPolicyTest.kt
@@ -1,9 +1,16 @@
 package oriolespindle.core.lifecycle
 
 import org.junit.jupiter.api.Test
+import oriolespindle.core.id.ServiceId
+import oriolespindle.core.relay.AnswerDurations
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
+import java.util.Random
+import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -11,54 +18,124 @@
 /** Guards against requests that are accepted during a shutdown and cut off when the process is killed. */
 class LateRequestPolicyTest {
     private val policy = LateRequestPolicy()
-    private val stream = AnswerDuration(median = 2.seconds, longest = 6.seconds)
-    private val call = AnswerDuration(median = 20.milliseconds, longest = 200.milliseconds)
 
     private fun accepts(
         stoppingFor: Duration,
-        expected: AnswerDuration?,
+        recent: List<Duration>?,
+        limit: Duration = 20.seconds,
         endAfter: Duration? = 7_700.milliseconds,
         mayRepeat: Boolean = true,
-    ) = policy.accepts(stoppingFor, endAfter?.minus(stoppingFor), expected, mayRepeat)
+        readyElsewhere: Double = 0.0,
+    ): Boolean {
+        val request =
+            LateRequest(limit, mayRepeat) { time ->
+                recent?.let {
+                    it.count { d -> d <= time } /
+                        it.size.toDouble()
+                }
+            }
+        return policy.accepts(request, stoppingFor, endAfter?.minus(stoppingFor), readyElsewhere)
+    }
+
+    private val streams = listOf(1, 2, 2, 6).map { it.seconds }
+    private val calls = List(4) { 20.milliseconds }
+
+    @Test
+    fun `without another instance an answer that is likely to be complete is begun until the traffic has moved`() {
+        expectThat(accepts(2.seconds, streams)).isTrue()
+        expectThat(accepts(2.seconds, listOf(1, 6, 6, 6).map { it.seconds })).isFalse()
+    }
 
     @Test
-    fun `an answer that is likely to be complete is begun until the load balancer has moved its traffic`() {
-        expectThat(accepts(2.seconds, stream)).isTrue()
-        expectThat(accepts(2.seconds, AnswerDuration(median = 6.seconds, longest = 9.seconds))).isFalse()
+    fun `an answer that may be cut is not begun if a refused caller finds another instance`() {
+        expectThat(accepts(2.seconds, streams, readyElsewhere = 1.0)).isFalse()
+        expectThat(accepts(2.seconds, streams, readyElsewhere = 0.5)).isTrue()
+        expectThat(accepts(2.seconds, calls, readyElsewhere = 1.0)).isTrue()
     }
 
     @Test
-    fun `afterwards only an answer that is as good as certain to be complete is begun`() {
-        expectThat(accepts(2.5.seconds, stream)).isFalse()
-        expectThat(accepts(2.5.seconds, AnswerDuration(median = 2.seconds, longest = 4.seconds))).isTrue()
-        expectThat(accepts(4.seconds, AnswerDuration(median = 2.seconds, longest = 4.seconds))).isFalse()
-        expectThat(accepts(7.seconds, call)).isTrue()
-        expectThat(accepts(7.6.seconds, call)).isFalse()
+    fun `once the traffic has moved only a request whose limit ends before the instance is begun`() {
+        expectThat(accepts(2_500.milliseconds, streams)).isFalse()
+        expectThat(accepts(2_500.milliseconds, calls)).isFalse()
+        expectThat(accepts(2_500.milliseconds, streams, limit = 5.seconds)).isTrue()
+        expectThat(accepts(7.seconds, calls, limit = 600.milliseconds)).isTrue()
+        expectThat(accepts(7.seconds, calls, limit = 800.milliseconds)).isFalse()
     }
 
     @Test
-    fun `an answer of unknown duration is begun only before the load balancer has moved its traffic`() {
-        expectThat(accepts(2.seconds, expected = null)).isTrue()
-        expectThat(accepts(2.5.seconds, expected = null)).isFalse()
+    fun `an answer of unknown duration is begun only before the traffic has moved and without another instance`() {
+        expectThat(accepts(2.seconds, recent = null)).isTrue()
+        expectThat(accepts(2.seconds, recent = null, readyElsewhere = 0.5)).isFalse()
+        expectThat(accepts(2_500.milliseconds, recent = null)).isFalse()
     }
 
     @Test
-    fun `an answer that cannot be asked for again is begun only if the longest one fits in`() {
-        expectThat(accepts(1.seconds, stream, mayRepeat = false)).isFalse()
-        expectThat(accepts(1.seconds, call, mayRepeat = false)).isTrue()
+    fun `an answer that cannot be asked for again is begun only if all recent ones fit in`() {
+        expectThat(accepts(2.seconds, streams, mayRepeat = false)).isFalse()
+        expectThat(accepts(1.seconds, calls, mayRepeat = false)).isTrue()
     }
 
     @Test
     fun `nothing is begun when no time is left`() {
-        expectThat(accepts(1.seconds, expected = null, endAfter = 1.seconds)).isFalse()
-        expectThat(accepts(2.seconds, expected = call, endAfter = 1.seconds)).isFalse()
+        expectThat(accepts(1.seconds, recent = null, endAfter = 1.seconds)).isFalse()
+        expectThat(accepts(2.seconds, calls, endAfter = 1.seconds)).isFalse()
     }
 
     @Test
     fun `every request is accepted if the process is not killed`() {
-        expectThat(accepts(60.seconds, stream, endAfter = null)).isTrue()
-        expectThat(accepts(60.seconds, expected = null, endAfter = null)).isTrue()
+        expectThat(accepts(60.seconds, streams, endAfter = null)).isTrue()
+        expectThat(accepts(60.seconds, recent = null, endAfter = null)).isTrue()
+    }
+
+    /** Streams like those of issue 31: median 1.6 s, 90th percentile 4.2 s, longest 8.5 s. */
+    private fun streamDuration(random: Random) =
+        minOf(MEDIAN_MILLIS * exp(SIGMA * random.nextGaussian()), LONGEST_MILLIS).milliseconds
+
+    /** Returns how many of [REQUESTS] streams are accepted that arrive within [arrivals], and how many of them cut. */
+    private fun play(
+        arrivals: ClosedRange<Duration>,
+        readyElsewhere: Double,
+    ): Pair<Int, Int> {
+        val random = Random(SEED)
+        val durations = AnswerDurations()
+        var accepted = 0
+        var cut = 0
+        repeat(REQUESTS) {
+            repeat(NEW_ANSWERS) { durations.onEnded("r", service, streamDuration(random)) }
+            val stoppingFor = arrivals.start + (arrivals.endInclusive - arrivals.start) * random.nextDouble()
+            val timeLeft = 7_500.milliseconds - stoppingFor
+            val request = LateRequest(20.seconds, mayRepeat = true) { durations.shareWithin("r", service, it) }
+            val duration = streamDuration(random)
+            if (policy.accepts(request, stoppingFor, timeLeft, readyElsewhere)) {
+                accepted++
+                if (duration > timeLeft) cut++
+            }
+        }
+        return accepted to cut
     }
 
-    private val Double.seconds: Duration get() = (this * 1_000).milliseconds
+    @Test
+    fun `no stream that arrives once the traffic has moved is cut`() {
+        expectThat(play(2_500.milliseconds..7_500.milliseconds, readyElsewhere = 0.0).second).isEqualTo(0)
+    }
+
+    @Test
+    fun `fewer streams are cut while other instances are ready`() {
+        val (alone, cutAlone) = play(Duration.ZERO..2_500.milliseconds, readyElsewhere = 0.0)
+        val (_, cutOfZone) = play(Duration.ZERO..2_500.milliseconds, readyElsewhere = 1.0)
+
+        expectThat(alone).isEqualTo(REQUESTS)
+        expectThat(cutAlone).isGreaterThan(0)
+        expectThat(cutOfZone).isLessThan(cutAlone / 10)
+    }
+
+    private companion object {
+        const val SEED = 31L
+        const val REQUESTS = 10_000
+        const val NEW_ANSWERS = 8
+        const val MEDIAN_MILLIS = 1_580.0
+        const val SIGMA = 0.76
+        const val LONGEST_MILLIS = 8_500.0
+        val service = ServiceId("s")
+    }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AnswerDurationsTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AnswerDurationsTest.kt
@@ -2,11 +2,9 @@
 
 import org.junit.jupiter.api.Test
 import oriolespindle.core.id.ServiceId
-import oriolespindle.core.lifecycle.AnswerDuration
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class AnswerDurationsTest {
@@ -17,30 +15,18 @@
     fun `only the last answers of a route count`() {
         listOf(9, 1, 2, 3, 4).forEach { durations.onEnded("r", service, it.seconds) }
 
-        expectThat(durations.expected("r", service)).isEqualTo(AnswerDuration(median = 3.seconds, longest = 4.seconds))
+        expectThat(durations.shareWithin("r", service, 4.seconds)).isEqualTo(1.0)
+        expectThat(durations.shareWithin("r", service, 3.seconds)).isEqualTo(0.75)
+        expectThat(durations.shareWithin("r", service, 0.seconds)).isEqualTo(0.0)
     }
 
     @Test
-    fun `an estimate of the length lowers what is expected`() {
-        listOf(100 to 1_000, 200 to 3_000, 50 to 1_000).forEach { (tokens, millis) ->
-            durations.onEnded("r", service, millis.milliseconds, tokens)
-        }
+    fun `requests in progress that have taken longer count as longer answers`() {
+        listOf(1, 2, 3).forEach { durations.onEnded("r", service, it.seconds) }
+        val ages = listOf(1, 4).map { it.seconds }
 
-        expectThat(durations.expected("r", service, estimatedTokens = 10))
-            .isEqualTo(AnswerDuration(median = 150.milliseconds, longest = 200.milliseconds))
-        expectThat(durations.expected("r", service))
-            .isEqualTo(AnswerDuration(median = 1.seconds, longest = 3.seconds))
-    }
-
-    @Test
-    fun `no caller's estimate raises what is expected`() {
-        listOf(100, 100, 0, 1).forEach { durations.onEnded("r", service, 2.seconds, it) }
-        val unscaled = AnswerDuration(median = 2.seconds, longest = 2.seconds)
-
-        for (tokens in listOf(100, 0, -1, Int.MAX_VALUE, null)) {
-            expectThat(durations.expected("r", service, tokens)?.longest).isEqualTo(unscaled.longest)
-        }
-        expectThat(durations.expected("r", service, Int.MAX_VALUE)).isEqualTo(unscaled)
+        expectThat(durations.shareWithin("r", service, 3.seconds, inProgress = ages)).isEqualTo(0.75)
+        expectThat(durations.shareWithin("r", service, 4.seconds, inProgress = ages)).isEqualTo(1.0)
     }
 
     @Test
@@ -48,9 +34,9 @@
         durations.onEnded("other", service, 2.seconds)
         durations.onEnded("r", service, 1.seconds)
 
-        expectThat(durations.expected("r", service)?.longest).isEqualTo(2.seconds)
-        expectThat(durations.expected("new", service)?.longest).isEqualTo(2.seconds)
-        expectThat(durations.expected("new", ServiceId("unknown"))).isNull()
+        expectThat(durations.shareWithin("r", service, 1.seconds)).isEqualTo(0.5)
+        expectThat(durations.shareWithin("new", service, 1.seconds)).isEqualTo(0.5)
+        expectThat(durations.shareWithin("new", ServiceId("unknown"), 1.seconds)).isNull()
     }
 
     @Test
@@ -59,9 +45,9 @@
         repeat(2) { durations.onEnded("other", service, 1.seconds) }
         durations.retain(routes = setOf("other"), services = setOf(service))
 
-        expectThat(durations.expected("other", service)?.longest).isEqualTo(1.seconds)
-        expectThat(durations.expected("r", service)?.longest).isEqualTo(2.seconds)
+        expectThat(durations.shareWithin("other", service, 1.seconds)).isEqualTo(1.0)
+        expectThat(durations.shareWithin("r", service, 1.seconds)).isEqualTo(0.5)
         durations.retain(routes = setOf("other"), services = emptySet())
-        expectThat(durations.expected("other", service)).isNull()
+        expectThat(durations.shareWithin("other", service, 1.seconds)).isNull()
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -2,7 +2,7 @@
 
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
-import oriolespindle.core.lifecycle.AnswerDuration
+import oriolespindle.core.lifecycle.LateRequest
 import oriolespindle.core.lifecycle.LateRequestPolicy
 import oriolespindle.core.lifecycle.LateRequestSettings
 import oriolespindle.core.relay.RelayConfiguration
@@ -103,7 +103,6 @@
                 dropKey = configuration.requiresKeys,
                 arrivedAt = arrivedAt,
                 expiry = arrivedAt + minOf(callerTimeout ?: route.timeout, route.timeout),
-                estimatedTokens = exchange.header(context.names.estimatedTokens)?.trim()?.toIntOrNull(),
             )
         context.budgets.onRequest(monotonicNow(), service.id)
         if (shutdown.stoppingFor?.let { acceptsLate(request, it) } == false) {
@@ -123,8 +122,9 @@
         stoppingFor: Duration,
     ): Boolean {
         val timeLeft = shutdown.timeLeft
-        val expected = expectedDuration(request)
-        val isAccepted = lateRequestPolicy.accepts(stoppingFor, timeLeft, expected, request.route.isRetryable)
+        val now = monotonicNow()
+        val late = LateRequest(request.expiry - now, request.route.isRetryable) { shareWithin(request, it) }
+        val isAccepted = lateRequestPolicy.accepts(late, stoppingFor, timeLeft, readyElsewhere = 0.0)
         EventLog.info(
             "request arrived during the shutdown",
             "request" to request.id,
@@ -132,19 +132,21 @@
             "accepted" to isAccepted,
             "stopping_ms" to stoppingFor.inWholeMilliseconds,
             "left_ms" to timeLeft?.inWholeMilliseconds,
-            "median_ms" to expected?.median?.inWholeMilliseconds,
-            "longest_ms" to expected?.longest?.inWholeMilliseconds,
+            "limit_ms" to late.limit.inWholeMilliseconds,
+            "share_in_time" to timeLeft?.let(late.shareWithin),
             "connection_ms" to request.exchange.connectionAge.inWholeMilliseconds,
             "connection_requests" to request.exchange.requestNumber,
         )
         return isAccepted
     }
 
-    /** A request in progress shows that answers take at least as long as it has taken so far. */
-    private fun expectedDuration(request: RelayRequest): AnswerDuration? {
-        val ended = context.durations.expected(request.route.name, request.service.id, request.estimatedTokens)
-        val oldest = context.sessions.maxOfOrNull { it.age(request.route) } ?: return ended
-        return ended?.let { it.copy(longest = maxOf(it.longest, oldest)) }
+    /** Returns the share of recent answers like that to [request] that took at most [limit]; null if none is known. */
+    private fun shareWithin(
+        request: RelayRequest,
+        limit: Duration,
+    ): Double? {
+        val inProgress = context.sessions.mapNotNull { it.age(request.route) }
+        return context.durations.shareWithin(request.route.name, request.service.id, limit, inProgress)
     }
 
     private fun key(exchange: ServerExchange): String? {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
@@ -22,8 +22,6 @@
     public val path: String,
     /** The number of prompt tokens and the maximum number of answer tokens, separated by a comma. */
     public val tokens: String,
-    /** The caller's estimate of the number of answer tokens. */
-    public val estimatedTokens: String,
     /** Further headers that only this system may set; dropped from requests of callers. */
     public val reserved: Set<String> = emptySet(),
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayRequest.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayRequest.kt
@@ -18,6 +18,4 @@
     val arrivedAt: Timestamp,
     /** The caller's deadline or the end of the route's timeout, whichever is earlier. */
     val expiry: Timestamp,
-    /** The caller's estimate of the number of answer tokens; null if it gives none. */
-    val estimatedTokens: Int?,
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -44,15 +44,8 @@
     protected val expiry: Timestamp
         get() = context.requestsEndAt()?.let { minOf(it, request.expiry) } ?: request.expiry
 
-    /** How long the request has taken so far if it is on [route], else zero. */
-    fun age(route: Route): Duration =
-        if (request.route.name ==
-            route.name
-        ) {
-            elapsed(request.arrivedAt)
-        } else {
-            Duration.ZERO
-        }
+    /** How long the request has taken so far if it is on [route], else null. */
+    fun age(route: Route): Duration? = if (request.route.name == route.name) elapsed(request.arrivedAt) else null
 
     /** Starts the first attempt, or refuses the request if its deadline has passed. */
     fun start() {
@@ -328,9 +321,7 @@
         onAttemptEnded()
         val duration = monotonicNow() - request.arrivedAt
         context.metrics.onRequestEnded(outcome, duration)
-        if (outcome != REFUSED && outcome != LEFT) {
-            context.durations.onEnded(request.route.name, request.service.id, duration, request.estimatedTokens)
-        }
+        if (outcome != REFUSED) context.durations.onEnded(request.route.name, request.service.id, duration)
         EventLog.info(
             "request ended",
             "request" to request.id,
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -184,7 +184,6 @@
                 faultyEndpoint = "Faulty",
                 path = "Path",
                 tokens = "Tokens",
-                estimatedTokens = "Estimated-Tokens",
                 reserved = setOf("Reserved"),
             )
 
