Refuse late requests that may be cut while another instance of the zone is ready

No instance knew which others stop.

Fix: a stopping instance tells the other instances of its zone once a second, over the datagrams that carry refusals of endpoints. Before the load balancer has moved its traffic, a request that may be repeated is accepted if the share of recent answers that fit, with a margin, is at least the share of the other instances that have not announced a stop; half of the answers must fit in any case. So a single stop refuses what may be cut, and a series of stops accepts what is likelier to be complete than a refused caller is to reach an instance that is ready.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RefusalChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -12,27 +12,43 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
 import oriolespindle.core.relay.SharedRefusal
 import oriolespindle.router.http.Address
 import oriolespindle.router.logging.EventLog
 import java.net.InetSocketAddress
 
+/** What an instance tells the others of its zone. */
+internal sealed interface PeerHint {
+    /** An endpoint refuses its part of a path. */
+    data class Refusal(
+        val refusal: SharedRefusal,
+    ) : PeerHint
+
+    /** [instance] stops. */
+    data class Stopping(
+        val instance: InstanceId,
+    ) : PeerHint
+}
+
 /**
- * Exchanges [SharedRefusal]s with the other instances of the zone in datagrams.
+ * Exchanges [PeerHint]s with the other instances of the zone in datagrams.
  *
- * They are hints: a lost one costs a refused attempt, and one that cannot be decoded is logged and ignored. Confined to
- * the event loop.
+ * A lost one costs a refused attempt, and one that cannot be decoded is logged and ignored. Confined to the event loop.
  */
-internal class RefusalChannel(
+internal class PeerHintChannel(
     private val group: EventLoopGroup,
-    private val onReceived: (SharedRefusal) -> Unit,
+    private val onReceived: (PeerHint) -> Unit,
 ) {
+    /** Has either an endpoint with the start of its process, or a stopping instance. */
     @Serializable
     private class Message(
-        val endpoint: String,
-        val startedAt: Long,
+        val endpoint: String? = null,
+        val startedAt: Long? = null,
+        val stopping: String? = null,
     )
 
+    private val format = Json { ignoreUnknownKeys = true }
     private var channel: Channel? = null
 
     /** The addresses of the other instances. */
@@ -56,15 +72,28 @@
         return Address(address.host, (bound.localAddress() as InetSocketAddress).port)
     }
 
-    /** Sends [refusal] once to each peer. */
-    fun send(refusal: SharedRefusal) {
+    /** Sends [hint] once to each peer. */
+    fun send(hint: PeerHint) {
         val sender = channel ?: return
-        val text = Json.encodeToString(Message.serializer(), Message(refusal.endpoint.value, refusal.startedAt))
+        val text = format.encodeToString(Message.serializer(), encode(hint))
         val bytes = text.toByteArray()
         peers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.toSocketAddress())) }
         sender.flush()
     }
 
+    private fun encode(hint: PeerHint): Message =
+        when (hint) {
+            is PeerHint.Refusal -> Message(hint.refusal.endpoint.value, hint.refusal.startedAt)
+            is PeerHint.Stopping -> Message(stopping = hint.instance.value)
+        }
+
+    private fun decode(message: Message): PeerHint {
+        message.stopping?.let { return PeerHint.Stopping(InstanceId(it)) }
+        val endpoint = requireNotNull(message.endpoint) { "neither an endpoint nor a stopping instance" }
+        val startedAt = requireNotNull(message.startedAt) { "no start of the endpoint's process" }
+        return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startedAt))
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             ctx: ChannelHandlerContext,
@@ -72,12 +101,15 @@
         ) {
             try {
                 val text = packet.content().toString(Charsets.UTF_8)
-                val message = Json.decodeFromString(Message.serializer(), text)
-                onReceived(SharedRefusal(EndpointId(message.endpoint), message.startedAt))
+                onReceived(decode(format.decodeFromString(Message.serializer(), text)))
             } catch (e: SerializationException) {
-                EventLog.warn("cannot decode a shared refusal", "from" to packet.sender(), "cause" to e.message)
+                EventLog.warn(
+                    "cannot decode a hint of another instance",
+                    "from" to packet.sender(),
+                    "cause" to e.message,
+                )
             } catch (e: IllegalArgumentException) {
-                EventLog.warn("cannot use a shared refusal", "from" to packet.sender(), "cause" to e.message)
+                EventLog.warn("cannot use a hint of another instance", "from" to packet.sender(), "cause" to e.message)
             }
         }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -52,7 +52,7 @@
     private val callers =
         HttpServer(group, serverSettings(null), observer = CallerObserver(), handler = frontEnd::onRequest)
     private val readiness = HttpServer(group) { frontEnd.readiness(it, isReady) }
-    private val refusals = RefusalChannel(group) { context.directory.onSharedRefusal(monotonicNow(), it) }
+    private val hints = PeerHintChannel(group, ::onHint)
     private var placement: PlacementComponent? = null
 
     private val isReady: Boolean
@@ -76,10 +76,10 @@
             RelayAddresses(
                 callers = callers.bind(settings.callers),
                 readiness = readiness.bind(settings.readiness),
-                refusals = settings.refusals?.let(refusals::bind),
+                refusals = settings.refusals?.let(hints::bind),
             )
         settings.metrics?.let { readiness.bind(it) }
-        context.shareRefusal = refusals::send
+        context.shareRefusal = { hints.send(PeerHint.Refusal(it)) }
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
         component.start(rank = Math.floorMod(settings.instance.value.hashCode(), LEASE_RANKS))
@@ -200,12 +200,13 @@
         context.budgets.instances = all
         context.load.instances = inZone
         context.concurrency.instances = inZone
+        context.stoppingPeers.peers = inZone - 1
         placement?.onInstanceCountChanged(all)
     }
 
-    /** Replaces the addresses at which the other instances of this zone receive shared refusals. */
+    /** Replaces the addresses at which the other instances of this zone receive hints. */
     public fun setRefusalPeers(peers: List<Address>) {
-        refusals.peers = peers
+        hints.peers = peers
     }
 
     /** Called when the store stops answering this instance. */
@@ -225,6 +226,17 @@
         EventLog.info("shutdown requested", *loadFields())
         placement?.stop()
         shutdown.requestShutdown()
+        announceStop()
+        timers.every(STOP_ANNOUNCEMENT_INTERVAL, ::announceStop)
+    }
+
+    private fun announceStop() = hints.send(PeerHint.Stopping(settings.instance))
+
+    private fun onHint(hint: PeerHint) {
+        when (hint) {
+            is PeerHint.Refusal -> context.directory.onSharedRefusal(monotonicNow(), hint.refusal)
+            is PeerHint.Stopping -> context.stoppingPeers.onStopping(monotonicNow(), hint.instance)
+        }
     }
 
     /** Stops the event loop at once and drops requests in flight. */
@@ -291,6 +303,7 @@
         /** The number of lease ranks; candidates of different ranks write the lease at different moments. */
         const val LEASE_RANKS = 8
         val POOL_CHECK_INTERVAL: Duration = 1.seconds
+        val STOP_ANNOUNCEMENT_INTERVAL: Duration = 1.seconds
 
         /** The time allowed for the body of a request, in addition to the header timeout. */
         val BODY_TIMEOUT: Duration = 10.seconds
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.relay
 
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.lifecycle.StoppingPeers
 import oriolespindle.core.placement.PathFinder
 import oriolespindle.core.placement.PathLoad
 import oriolespindle.core.relay.AnswerDurations
@@ -43,6 +44,7 @@
     val concurrency = ConcurrencyLimits()
     val refusalSharing = RefusalSharing()
     val durations = AnswerDurations()
+    val stoppingPeers = StoppingPeers()
 
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -124,7 +124,8 @@
         val timeLeft = shutdown.timeLeft
         val now = monotonicNow()
         val late = LateRequest(request.expiry - now, request.route.isRetryable) { shareWithin(request, it) }
-        val isAccepted = lateRequestPolicy.accepts(late, stoppingFor, timeLeft, readyElsewhere = 0.0)
+        val readyElsewhere = context.stoppingPeers.readyShare(now)
+        val isAccepted = lateRequestPolicy.accepts(late, stoppingFor, timeLeft, readyElsewhere)
         EventLog.info(
             "request arrived during the shutdown",
             "request" to request.id,
@@ -134,6 +135,7 @@
             "left_ms" to timeLeft?.inWholeMilliseconds,
             "limit_ms" to late.limit.inWholeMilliseconds,
             "share_in_time" to timeLeft?.let(late.shareWithin),
+            "ready_elsewhere" to readyElsewhere,
             "connection_ms" to request.exchange.connectionAge.inWholeMilliseconds,
             "connection_requests" to request.exchange.requestNumber,
         )
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -71,6 +71,8 @@
 
     fun register(vararg endpoints: RelayEndpoint) = onLoop { relay.replaceEndpoints(endpoints.toList()) }
 
+    fun setInstancesInZone(count: Int) = onLoop { relay.onInstanceCountChanged(all = count, inZone = count) }
+
     fun setRefusalPeers(vararg peers: Address) = onLoop { relay.setRefusalPeers(peers.toList()) }
 
     fun shutDown() = onLoop { relay.shutDown() }
