Tell a close by the server from any other end of a connection

An endpoint answers without a length before it has read a long request, and resets the connection while the relay still sends. Netty's loop writes before it reads, so the failed write takes the socket's error and closes the channel; no read reports the reset. On channelInactive, HttpObjectDecoder ends a response without a length, whatever closed the channel, and ClientCallHandler reported it as complete. Any other close by this side would have done the same.

Half closure is allowed now, so the end of the server's direction is an event of its own, and ResponseDecoder ends a response only after that event. A channel that becomes inactive without it breaks the response off.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
@@ -254,6 +255,20 @@
         return seconds?.toLongOrNull()?.seconds?.minus(CLOSE_MARGIN)
     }
 
+    /** Closes the connection whose server has closed its direction; the decoder has ended the response if it may. */
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is ChannelInputShutdownEvent) {
+            val call = current
+            current = null
+            call?.fail(FailureKind.CONNECTION_LOST)
+            ctx.close()
+        }
+        ctx.fireUserEventTriggered(event)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         val call = current
         current = null
@@ -266,7 +281,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        // Otherwise the decoder would treat a connection reset as the end of a response without a length.
+        // After a reset, too, Netty reports that the input has ended, which would end a response without a length.
         val call = current
         current = null
         if (cause !is IOException) EventLog.warn("call failed", "server" to address, "cause" to cause)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -1,11 +1,16 @@
 package oriolespindle.router.http
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /** Decodes the responses of one connection and detects bytes that belong to none of them. */
 internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)) {
+    private var isInputEnded = false
+
     /** Whether bytes that follow the last decoded response are buffered. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
@@ -14,6 +19,23 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodiless || super.isContentAlwaysEmpty(message)
 
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is ChannelInputShutdownEvent) isInputEnded = true
+        super.userEventTriggered(ctx, event)
+    }
+
+    /** Ends a response without a length only if the server has closed its direction; other closes break it off. */
+    override fun decodeLast(
+        ctx: ChannelHandlerContext,
+        input: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        if (isInputEnded) super.decodeLast(ctx, input, out)
+    }
+
     private companion object {
         /** Bounds memory; it is not meant to restrict the headers that endpoints add to their responses. */
         const val MAX_HEADER_BYTES = 65_536
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -284,6 +284,17 @@
         socket.getOutputStream().write("$method $path $version\r\n$head$length\r\n$body".toByteArray())
     }
 
+    fun sendRaw(text: String) = socket.getOutputStream().write(text.toByteArray())
+
+    /** Closes the connection with a TCP reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    /** Closes the direction to the relay; the other one stays open. */
+    fun closeOutput() = socket.shutdownOutput()
+
     /** Waits for the first bytes of the answer. */
     fun readSome() {
         socket.soTimeout = READ_TIMEOUT_MILLIS
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
@@ -9,6 +9,7 @@
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -70,9 +71,16 @@
 /** An endpoint that answers with raw bytes, so that a test can violate HTTP. */
 internal class ScriptedEndpoint(
     private val name: String,
+    /** Whether the body of a request is read before the script runs; otherwise most of a large one is never received. */
+    private val readsBody: Boolean,
     private val script: ScriptedConnection.(ReceivedRequest, number: Int) -> Unit,
 ) : AutoCloseable {
-    private val listener = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    constructor(
+        name: String,
+        script: ScriptedConnection.(ReceivedRequest, number: Int) -> Unit,
+    ) : this(name, readsBody = true, script)
+
+    private val listener = ServerSocket()
     private val sockets = CopyOnWriteArrayList<Socket>()
     private val arrivals = LinkedBlockingQueue<ReceivedRequest>()
     val requests = CopyOnWriteArrayList<ReceivedRequest>()
@@ -80,6 +88,8 @@
     val address: String get() = "127.0.0.1:${listener.localPort}"
 
     init {
+        if (!readsBody) listener.receiveBufferSize = SMALL_RECEIVE_BUFFER_BYTES
+        listener.bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), BACKLOG)
         daemon { acceptAll() }
     }
 
@@ -137,7 +147,7 @@
         val headers =
             generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
                 .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
-        val body = input.readNBytes(headers["content-length"]?.toInt() ?: 0)
+        val body = input.readNBytes(if (readsBody) headers["content-length"]?.toInt() ?: 0 else 0)
         return ReceivedRequest(requestLine, headers, body.decodeToString())
     }
 
@@ -157,6 +167,8 @@
 
     private companion object {
         const val REQUEST_TIMEOUT_SECONDS = 5L
+        const val BACKLOG = 50
+        const val SMALL_RECEIVE_BUFFER_BYTES = 16 * 1024
     }
 }
 
