Close an idle connection at its first byte

Callers got a 502 (malformed) for a request whose endpoint had answered it whole. A server sent a part of a second answer on a kept connection while no request was in progress, and stopped after a complete line of the head. The decoder takes complete lines out of its buffer, so hasUnreadBytes was false, the connection was used again, and the next answer was read as header lines of the late one. Where the part ended within a line, it was found and a new connection was opened.

ResponseDecoder knows now whether a response is awaited, logs bytes that arrive at other times and closes the connection; sendOver finds it inactive and opens another one.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -175,7 +175,9 @@
         isReusableAfter = request.isReusableAfter
         onHead = request.onHead
         if (onSkippedHead == null) onSkippedHead = request.onHead
-        ctx.pipeline().get(ResponseDecoder::class.java).isBodiless = message.method() == HttpMethod.HEAD
+        val decoder = ctx.pipeline().get(ResponseDecoder::class.java)
+        decoder.isBodiless = message.method() == HttpMethod.HEAD
+        decoder.isAwaited = true
         requestWritten = ctx.channel().writeAndFlush(message)
     }
 
@@ -241,6 +243,7 @@
         current = null
         // A server may answer before it has read the request; the rest of the body must not be parsed as the next one.
         val reusable = keepAlive && requestWritten?.isSuccess == true && !hasUnreadBytes(ctx)
+        ctx.pipeline().get(ResponseDecoder::class.java)?.isAwaited = false
         call.deliver(ClientEvent.End)
         if (call.detach() && reusable) pool.put(address, ctx.channel(), keepAliveTimeout) else ctx.close()
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -166,7 +166,7 @@
         request: ClientRequest,
         channel: Channel,
     ) {
-        if (!channel.isActive || channel.pipeline().get(ResponseDecoder::class.java).hasUnreadBytes) {
+        if (!channel.isActive) {
             // The server closed the pooled connection, or sent unsolicited bytes, before it was used again.
             channel.close()
             connect(request.address).addListener(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.ReferenceCountUtil
+import oriolespindle.router.logging.EventLog
 
 /** Decodes the responses of one connection and detects bytes that belong to none of them. */
 internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)) {
@@ -19,6 +21,22 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodiless || super.isContentAlwaysEmpty(message)
 
+    /** Whether a response is awaited; bytes that arrive at other times belong to none and close the connection. */
+    var isAwaited: Boolean = false
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (isAwaited) {
+            super.channelRead(ctx, message)
+            return
+        }
+        ReferenceCountUtil.release(message)
+        EventLog.info("bytes on an idle connection", "server" to ctx.channel().remoteAddress())
+        ctx.close()
+    }
+
     override fun userEventTriggered(
         ctx: ChannelHandlerContext,
         event: Any,
