--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -133,6 +133,8 @@
             .group(group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            // Reports a close by the server apart from one by this side, for example after a failed write.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.inWholeMilliseconds.toInt())
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
@@ -164,7 +166,7 @@
         request: ClientRequest,
         channel: Channel,
     ) {
-        if (!channel.isActive || channel.pipeline().get(ResponseDecoder::class.java).hasUnreadBytes) {
+        if (!channel.isActive) {
             // The server closed the pooled connection, or sent unsolicited bytes, before it was used again.
             channel.close()
             connect(request.address).addListener(
