Answer requests that wait behind another answer

What callers saw: a request that was sent whole while an earlier one on the same connection was answered got neither an answer nor a refusal.

Causes: - Whether the connection closes was asked again after the head was written. A shutdown that began during a stream closed the connection at its end, which the head had not announced, under a request behind it. - During a shutdown the answer to the first request closed the connection even if a whole request waited behind it. - A third request closed the connection at once, under the first, which an endpoint may have been running. - A connection on which a part of the next request had arrived counted as idle once the answer was written, and was closed as such.

Change: the head decides once, and announces, whether the connection closes. An answer does not close while requests wait behind it; the last one does. Two waiting requests stop the reading instead of closing. Bytes after the last complete request make the connection one that receives a request.

A part of a request that arrives in the same read as the end of an earlier one is still not seen until more bytes follow.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestTimeoutHandler.kt
@@ -48,6 +48,9 @@
     private var phaseSince = Timestamp.ZERO
     private var openedAt = Timestamp.ZERO
 
+    /** Whether bytes have arrived since the last complete request. */
+    private var hasUnfinishedRequest = false
+
     /** The number of requests that have begun on the connection. */
     var requestCount: Int = 0
         private set
@@ -66,6 +69,7 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
+        hasUnfinishedRequest = true
         if (phase == Phase.IDLE) beginRequest(ctx)
         ctx.fireChannelRead(message)
     }
@@ -76,16 +80,22 @@
         enter(ctx, Phase.RECEIVING)
     }
 
+    /** Called when a request is complete, which may have to wait for the answers to earlier ones. */
+    fun onRequestComplete() {
+        hasUnfinishedRequest = false
+    }
+
     /** Called when the handling of a complete request begins. */
     fun onRequestReceived() {
         phase = Phase.BUSY
         timeout?.cancel(false)
     }
 
+    /** Called when all complete requests are answered; the next one may have arrived in part. */
     fun onConnectionIdle(ctx: ChannelHandlerContext) {
         if (!ctx.channel().isActive) return
         if (phase != Phase.IDLE) observer.onRequestFinished(requestId())
-        enter(ctx, Phase.IDLE)
+        if (hasUnfinishedRequest) beginRequest(ctx) else enter(ctx, Phase.IDLE)
     }
 
     override fun userEventTriggered(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -55,6 +55,10 @@
 
     @Volatile
     private var hasBegun = false
+
+    /** Whether the connection closes after the response, as its head announces. */
+    @Volatile
+    private var closes = false
     private val answeredAction = AtomicReference<(() -> Unit)?>()
 
     val method: String = head.method().name()
@@ -195,40 +199,46 @@
 
     private fun finish(last: Any) {
         if (last is HttpResponse) setConnectionHeader(last)
-        val close = !keepAlive || isClosing()
         val future = ctx.writeAndFlush(last)
-        if (close) {
+        if (closes) {
             future.addListener(ChannelFutureListener.CLOSE)
         } else {
             future.addListener { ctx.executor().execute(onEnd) }
         }
     }
 
+    /** Decides once whether the connection closes, since a caller may send its next request after any other head. */
     private fun setConnectionHeader(response: HttpResponse) {
-        if (!keepAlive || isClosing()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        closes = !keepAlive || isClosing()
+        if (closes) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 }
 
-/** Handles the requests of one connection one at a time, in order. */
+/**
+ * Handles the requests of one connection one at a time, in order.
+ *
+ * While a few requests wait for the answer to an earlier one, no more are read. An answer does not close the
+ * connection while requests wait behind it.
+ */
 internal class ServerExchangeHandler(
     private val isClosing: () -> Boolean,
     private val handler: (ServerExchange) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var current: ServerExchange? = null
-    private var next: AssembledRequest? = null
+    private val waiting = ArrayDeque<AssembledRequest>()
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
         val request = message as AssembledRequest
+        timeouts(ctx).onRequestComplete()
         if (current == null) {
             begin(ctx, request)
-        } else if (next == null) {
-            next = request
         } else {
-            // Buffering more than one pipelined request would let one connection hold unbounded memory.
-            ctx.close()
+            waiting += request
+            // A read may have returned more requests, so their number is bounded by the size of one read.
+            if (waiting.size >= MAX_WAITING) ctx.channel().config().isAutoRead = false
         }
     }
 
@@ -236,18 +246,21 @@
         ctx: ChannelHandlerContext,
         request: AssembledRequest,
     ) {
-        val connection = ctx.pipeline().get(RequestTimeoutHandler::class.java)
+        val connection = timeouts(ctx)
         connection.onRequestReceived()
-        val exchange = ServerExchange(ctx, request, connection, isClosing) { onExchangeEnded(ctx) }
+        val closesAfter = { isClosing() && waiting.isEmpty() }
+        val exchange = ServerExchange(ctx, request, connection, closesAfter) { onExchangeEnded(ctx) }
         current = exchange
         handler(exchange)
     }
 
+    private fun timeouts(ctx: ChannelHandlerContext) = ctx.pipeline().get(RequestTimeoutHandler::class.java)
+
     private fun onExchangeEnded(ctx: ChannelHandlerContext) {
         current = null
-        val request = next
-        next = null
+        val request = waiting.removeFirstOrNull()
         if (request != null) {
+            if (waiting.size < MAX_WAITING) ctx.channel().config().isAutoRead = true
             begin(ctx, request)
         } else {
             startIdleTimeout(ctx)
@@ -267,6 +280,7 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        waiting.clear()
         current?.onConnectionClosed()
         current = null
         ctx.fireChannelInactive()
@@ -280,4 +294,8 @@
         if (cause !is IOException) EventLog.warn("request failed", "cause" to cause)
         ctx.close()
     }
+
+    private companion object {
+        const val MAX_WAITING = 2
+    }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/KeptConnectionTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/KeptConnectionTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.isEqualTo
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,13 +17,17 @@
 /** Guards against requests on open connections that get neither an answer nor a refusal. */
 class KeptConnectionTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val held = LinkedBlockingQueue<ServerExchange>()
     private val server = HttpServer(group, HttpServerSettings(idleTimeout = SHORT_IDLE), handler = ::handle)
     private val address = server.bind(Address("127.0.0.1", 0))
     private val caller by lazy { Socket(address.host, address.port).apply { soTimeout = READ_TIMEOUT_MILLIS } }
 
     private fun handle(exchange: ServerExchange) {
-        if (exchange.path == "/pause") Thread.sleep(PAUSE_MILLIS)
-        exchange.respond(HttpAnswer.json(200, exchange.path))
+        when (exchange.path) {
+            "/pause" -> Thread.sleep(PAUSE_MILLIS)
+            "/held" -> held += exchange
+        }
+        if (exchange.path != "/held") exchange.respond(HttpAnswer.json(200, exchange.path))
     }
 
     @AfterEach
@@ -79,6 +84,63 @@
         expectThat(nextAnswer()).isEqualTo("200 /second")
     }
 
+    /** Callers may send their next request on a connection whose close was not announced. */
+    @Test
+    fun `a shutdown during a stream closed the connection under the request behind it`() {
+        send("/held")
+        val stream = nextHeld()
+        stream.beginStream(200, "text/event-stream")
+        send("/second")
+        stream.writeChunk("event".toByteArray())
+        expectThat(nextAnswerHead()).isEqualTo("200")
+        server.closing = true
+        stream.endStream()
+        expectThat(rest().contains("/second")).isEqualTo(true)
+    }
+
+    /** A request that waits behind an answer is answered, and its own answer announces the close. */
+    @Test
+    fun `a shutdown dropped the request that waited behind an answer`() {
+        send("/held")
+        send("/second")
+        val first = nextHeld()
+        awaitLoop()
+        server.closing = true
+        first.respond(HttpAnswer.json(200, "/held"))
+
+        expectThat(listOf(nextAnswer(), nextAnswer())).isEqualTo(listOf("200 /held", "200 /second"))
+    }
+
+    /** Reading pauses while requests wait, rather than closing a connection whose first request is running. */
+    @Test
+    fun `a third request closed the connection under the first`() {
+        send("/held")
+        val first = nextHeld()
+        repeat(WAITING) { send("/$it") }
+        awaitLoop()
+        first.respond(HttpAnswer.json(200, "/held"))
+
+        expectThat(List(WAITING + 1) { nextAnswer() })
+            .isEqualTo(listOf("200 /held") + List(WAITING) { "200 /$it" })
+    }
+
+    /** A connection with a part of a request is not idle. */
+    @Test
+    fun `a request that began to arrive during an answer was closed as idle`() {
+        send("/held")
+        val first = nextHeld()
+        write("GET /second HTTP/1.1\r\nHo")
+        awaitLoop()
+        first.respond(HttpAnswer.json(200, "/held"))
+        expectThat(nextAnswer()).isEqualTo("200 /held")
+        awaitLoop()
+        server.closeIdleConnections(idleFor = Duration.ZERO)
+        awaitLoop()
+        write("st: a\r\n\r\n")
+
+        expectThat(nextAnswer()).isEqualTo("200 /second")
+    }
+
     private fun send(path: String) = write("GET $path HTTP/1.1\r\nHost: a\r\n\r\n")
 
     private fun write(text: String) = caller.getOutputStream().write(text.toByteArray())
@@ -90,6 +152,14 @@
         Thread.sleep(PAUSE_MILLIS / 3)
     }
 
+    /** Waits until the event loop has read what was sent. */
+    private fun awaitLoop() = Thread.sleep(SETTLE_MILLIS)
+
+    private fun nextHeld(): ServerExchange =
+        checkNotNull(held.poll(READ_TIMEOUT_MILLIS.toLong(), TimeUnit.MILLISECONDS))
+
+    private fun nextAnswerHead(): String = readHead()?.substringAfter(' ')?.substringBefore(' ') ?: NO_ANSWER
+
     /** Returns the status and the body of the next answer. */
     private fun nextAnswer(): String {
         val head = readHead() ?: return NO_ANSWER
@@ -118,9 +188,19 @@
         return head.toString()
     }
 
+    /** Reads until the connection ends. */
+    private fun rest(): String =
+        try {
+            caller.getInputStream().readAllBytes().decodeToString()
+        } catch (_: IOException) {
+            NO_ANSWER
+        }
+
     private companion object {
         const val NO_ANSWER = "no answer"
+        const val WAITING = 4
         const val PAUSE_MILLIS = 900L
+        const val SETTLE_MILLIS = 200L
         const val READ_TIMEOUT_MILLIS = 10_000
 
         /** Ends within a pause. */
