Answer requests whose handling fails with an unexpected error

What callers saw: nothing, after an error in the code that decides about their request. The connection was closed without an answer; if the error came from a timer, from an event of a call or from a request that had waited behind another, it stayed open until the timeout of the route, and without end if that timer itself failed.

Causes: an error of the handler went to exceptionCaught, which closes the connection. The timer service and the client log what a timer or a listener throws, but the session then had no further event. An answer that could not be built or written had already ended its exchange.

Change: each step of a session (start, event of a call, timer, stall report, disconnection) ends the request if it throws: 503 if the request was sent nowhere, 502 if an endpoint may have received it, and a reset if the answer has begun. An error before the session starts is a refusal. The listener answers 502 for any handler that throws, builds an answer before it ends the exchange, and closes the connection of one that cannot be written. All of them log the error and where it was thrown.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -104,7 +104,6 @@
 
     /** Sends a complete response; later calls are ignored, and one after a response has begun aborts it. */
     fun respond(answer: HttpAnswer) {
-        if (!endUnanswered(answer.status)) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -114,7 +113,7 @@
         HttpUtil.setContentLength(response, answer.body.size.toLong())
         if (answer.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
         answer.headers.forEach { (name, value) -> response.headers().add(name, value) }
-        finish(response)
+        if (endUnanswered(answer.status)) finish(response)
     }
 
     /** Sends a complete response like [respond], with the headers of another server's response. */
@@ -123,7 +122,6 @@
         headers: HttpHeaders,
         body: ByteArray,
     ) {
-        if (!endUnanswered(status)) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -132,7 +130,7 @@
             )
         response.headers().set(headers)
         HttpUtil.setContentLength(response, body.size.toLong())
-        finish(response)
+        if (endUnanswered(status)) finish(response)
     }
 
     /** Starts a response with the headers of another server's response; its body is sent in parts. */
@@ -203,10 +201,16 @@
         if (closes) {
             future.addListener(ChannelFutureListener.CLOSE)
         } else {
-            future.addListener { ctx.executor().execute(onEnd) }
+            future.addListener { if (it.isSuccess) ctx.executor().execute(onEnd) else onWriteFailed(it.cause()) }
         }
     }
 
+    /** Closes the connection, since the caller of a response that was not written would wait in vain. */
+    private fun onWriteFailed(cause: Throwable) {
+        if (cause !is IOException) EventLog.warn("response not written", "path" to path, "cause" to cause)
+        ctx.close()
+    }
+
     /** Decides once whether the connection closes, since a caller may send its next request after any other head. */
     private fun setConnectionHeader(response: HttpResponse) {
         closes = !keepAlive || isClosing()
@@ -251,9 +255,27 @@
         val closesAfter = { isClosing() && waiting.isEmpty() }
         val exchange = ServerExchange(ctx, request, connection, closesAfter) { onExchangeEnded(ctx) }
         current = exchange
-        handler(exchange)
+        try {
+            handler(exchange)
+        } catch (e: Exception) {
+            onHandlerFailed(exchange, e)
+        } catch (e: StackOverflowError) {
+            onHandlerFailed(exchange, e)
+        }
     }
 
+    /** Ends an exchange that its handler may have left without an end; the request may have run. */
+    private fun onHandlerFailed(
+        exchange: ServerExchange,
+        cause: Throwable,
+    ) {
+        logFailure(cause)
+        exchange.respond(HttpAnswer.json(BAD_GATEWAY, UNEXPECTED_ERROR))
+    }
+
+    private fun logFailure(cause: Throwable) =
+        EventLog.warn("request failed", "cause" to cause, "at" to cause.stackTrace.firstOrNull())
+
     private fun timeouts(ctx: ChannelHandlerContext) = ctx.pipeline().get(RequestTimeoutHandler::class.java)
 
     private fun onExchangeEnded(ctx: ChannelHandlerContext) {
@@ -291,11 +313,14 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        if (cause !is IOException) EventLog.warn("request failed", "cause" to cause)
+        // A reset of the caller's connection is no fault; its request logs its own end.
+        if (cause !is IOException) logFailure(cause)
         ctx.close()
     }
 
     private companion object {
         const val MAX_WAITING = 2
+        const val BAD_GATEWAY = 502
+        const val UNEXPECTED_ERROR = """{"error":{"outcome":"unknown","reason":"unexpected_error"}}"""
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
@@ -12,6 +12,9 @@
 
     /** The reason of answers to requests that the instance cannot finish before it is killed. */
     const val STOPPING = "stopping"
+
+    /** The reason of answers to requests that an error of the relay's own code has ended. */
+    const val UNEXPECTED_ERROR = "unexpected_error"
     private const val UNAVAILABLE = 503
     private const val RETRY_AFTER = "Retry-After"
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -56,9 +56,24 @@
         exchange.respond(RelayAnswers.refusal("configuration_missing", context.times.retryAfterStart))
     }
 
+    /** Serves a request; an error before its session has started means that it has not been sent anywhere. */
     private fun serve(
         exchange: ServerExchange,
         arrivedAt: Timestamp,
+    ) = catchingErrors({ check(exchange, arrivedAt) }) { cause ->
+        EventLog.warn(
+            "request failed before its first attempt",
+            "request" to exchange.header(context.names.requestId),
+            "cause" to cause,
+            "at" to cause.stackTrace.firstOrNull(),
+        )
+        context.metrics.onRefused(RelayAnswers.UNEXPECTED_ERROR)
+        exchange.respond(RelayAnswers.refusal(RelayAnswers.UNEXPECTED_ERROR, retryAfter = null))
+    }
+
+    private fun check(
+        exchange: ServerExchange,
+        arrivedAt: Timestamp,
     ) {
         val configuration = checkNotNull(context.configuration.current) { "requests wait for the configuration" }
         val route = configuration.route(exchange.header("Host").orEmpty(), exchange.path)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -40,6 +40,9 @@
     private var expiryTimer: ScheduledFuture<*>? = null
     private var attemptTimer: ScheduledFuture<*>? = null
 
+    /** Whether an endpoint may have received the request. */
+    private var hasCalled = false
+
     /** When the request ends at the latest; an instance that stops ends it before it is killed. */
     protected val expiry: Timestamp
         get() = context.requestsEndAt()?.let { minOf(it, request.expiry) } ?: request.expiry
@@ -55,16 +58,45 @@
         }
 
     /** Starts the first attempt, or refuses the request if its deadline has passed. */
-    fun start() {
-        exchange.onClosed = ::onCallerDisconnected
-        context.sessions += this
-        val remaining = request.expiry - monotonicNow()
-        if (remaining <= Duration.ZERO) {
-            refuse(reason = "deadline_passed", retryAfter = null)
-            return
+    fun start() =
+        guarded {
+            exchange.onClosed = ::onCallerDisconnected
+            context.sessions += this
+            val remaining = request.expiry - monotonicNow()
+            if (remaining <= Duration.ZERO) {
+                refuse(reason = "deadline_passed", retryAfter = null)
+            } else {
+                expiryTimer = context.timers.after(remaining) { guarded { if (!ended) onExpired() } }
+                startAttempt()
+            }
+        }
+
+    /**
+     * Runs one [step] of the request, and ends the request if that fails.
+     *
+     * Nothing else would answer the caller: a timer or an event of a call that failed does not come again.
+     */
+    protected fun guarded(step: () -> Unit) = catchingErrors(step, ::onUnexpectedError)
+
+    private fun onUnexpectedError(cause: Throwable) {
+        EventLog.warn(
+            "request failed unexpectedly",
+            "request" to request.id,
+            "service" to request.service.id,
+            "sends" to history.sends,
+            "cause" to cause,
+            "at" to cause.stackTrace.firstOrNull(),
+        )
+        // The same state may make a further step fail, so the answer does not depend on it.
+        catchingErrors({
+            abandonCall()
+            end("failed", RelayAnswers.UNEXPECTED_ERROR)
+        }) { EventLog.warn("request was not ended in order", "request" to request.id, "cause" to it) }
+        when {
+            answerBegun -> exchange.abort()
+            hasCalled -> exchange.respond(RelayAnswers.failure(BAD_GATEWAY, RelayAnswers.UNEXPECTED_ERROR))
+            else -> exchange.respond(RelayAnswers.refusal(RelayAnswers.UNEXPECTED_ERROR, retryAfter = null))
         }
-        expiryTimer = context.timers.after(remaining) { if (!ended) onExpired() }
-        startAttempt()
     }
 
     /** Starts one attempt at an endpoint that may receive the request. */
@@ -147,10 +179,11 @@
                 onHead = { context.answers.onHead(endpoint, it) },
             )
         var current: ClientCall? = null
+        hasCalled = true
         current =
             context.http.send(outgoing) { event ->
                 // Late events of an abandoned attempt are ignored.
-                if (!ended && (current == null || current === call)) listener(event)
+                if (!ended && (current == null || current === call)) guarded { listener(event) }
                 true
             }
         call = current
@@ -163,7 +196,7 @@
     ) {
         attemptTimer?.cancel(false)
         val timedCall = call
-        attemptTimer = context.timers.after(limit) { if (!ended && call === timedCall) action() }
+        attemptTimer = context.timers.after(limit) { guarded { if (!ended && call === timedCall) action() } }
     }
 
     protected fun stopWatching() {
@@ -367,11 +400,13 @@
         }
     }
 
-    private fun onCallerDisconnected() {
-        if (ended) return
-        abandonCall()
-        end(LEFT, "caller closed the connection")
-    }
+    private fun onCallerDisconnected() =
+        guarded {
+            if (!ended) {
+                abandonCall()
+                end(LEFT, "caller closed the connection")
+            }
+        }
 
     protected fun elapsed(since: Timestamp): Duration = monotonicNow() - since
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -90,10 +90,11 @@
     }
 
     /** Called when another stream has found that [faulty] does not answer; abandons an attempt that waits for it. */
-    fun onEndpointLost(faulty: EndpointId) {
-        val mayAbandon = elapsed(lastEventAt) >= context.times.minSilence && canRestartElsewhere()
-        if (!ended && mayAbandon && path?.parts?.any { it.endpoint.id == faulty } == true) abandonAttempt(faulty)
-    }
+    fun onEndpointLost(faulty: EndpointId) =
+        guarded {
+            val mayAbandon = elapsed(lastEventAt) >= context.times.minSilence && canRestartElsewhere()
+            if (!ended && mayAbandon && path?.parts?.any { it.endpoint.id == faulty } == true) abandonAttempt(faulty)
+        }
 
     /** Returns the endpoint to send to; for a model it is the first of a path, which is stored in [path]. */
     private fun chooseTarget(): RelayEndpoint? {
@@ -357,7 +358,9 @@
         val reportedCall = call
         val forwardedBefore = forwardedEvents
         context.engines.stalledAt(target, request.id.value) { report ->
-            if (!ended && call === reportedCall && forwardedEvents == forwardedBefore) onStallReport(target, report)
+            guarded {
+                if (!ended && call === reportedCall && forwardedEvents == forwardedBefore) onStallReport(target, report)
+            }
         }
     }
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/KeptConnectionTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/KeptConnectionTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import java.io.IOException
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
@@ -26,6 +27,7 @@
         when (exchange.path) {
             "/pause" -> Thread.sleep(PAUSE_MILLIS)
             "/held" -> held += exchange
+            "/fails" -> error("the handler fails")
         }
         if (exchange.path != "/held") exchange.respond(HttpAnswer.json(200, exchange.path))
     }
@@ -141,6 +143,40 @@
         expectThat(nextAnswer()).isEqualTo("200 /second")
     }
 
+    /** The connection of a request whose handler fails must not close without an answer. */
+    @Test
+    fun `an unexpected error left a request without an answer`() {
+        send("/fails")
+        expectThat(nextAnswer().substringBefore(' ')).isEqualTo("502")
+        send("/second")
+
+        expectThat(nextAnswer()).isEqualTo("200 /second")
+    }
+
+    /** A handler that fails for a request that has waited has no connection event that could report it. */
+    @Test
+    fun `an unexpected error left a request that had waited without an answer`() {
+        send("/held")
+        send("/fails")
+        val first = nextHeld()
+        awaitLoop()
+        first.respond(HttpAnswer.json(200, "/held"))
+
+        expectThat(listOf(nextAnswer(), nextAnswer().substringBefore(' '))).isEqualTo(listOf("200 /held", "502"))
+    }
+
+    /** Headers that cannot be written must not leave the caller waiting on an open connection. */
+    @Test
+    fun `an answer that could not be built left its caller without an answer`() {
+        send("/held")
+        val exchange = nextHeld()
+        runCatching { exchange.respond(HttpAnswer.json(200, "", listOf("X" to "a\nb"))) }
+        expectThat(exchange.isEnded).isFalse()
+        exchange.respond(HttpAnswer.json(503, "/held"))
+
+        expectThat(nextAnswer()).isEqualTo("503 /held")
+    }
+
     private fun send(path: String) = write("GET $path HTTP/1.1\r\nHost: a\r\n\r\n")
 
     private fun write(text: String) = caller.getOutputStream().write(text.toByteArray())
