--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -55,6 +55,10 @@
 
     @Volatile
     private var hasBegun = false
+
+    /** Whether the connection closes after the response, as its head announces. */
+    @Volatile
+    private var closes = false
     private val answeredAction = AtomicReference<(() -> Unit)?>()
 
     val method: String = head.method().name()
@@ -100,7 +104,6 @@
 
     /** Sends a complete response; later calls are ignored, and one after a response has begun aborts it. */
     fun respond(answer: HttpAnswer) {
-        if (!endUnanswered(answer.status)) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -110,7 +113,7 @@
         HttpUtil.setContentLength(response, answer.body.size.toLong())
         if (answer.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
         answer.headers.forEach { (name, value) -> response.headers().add(name, value) }
-        finish(response)
+        if (endUnanswered(answer.status)) finish(response)
     }
 
     /** Sends a complete response like [respond], with the headers of another server's response. */
@@ -119,7 +122,6 @@
         headers: HttpHeaders,
         body: ByteArray,
     ) {
-        if (!endUnanswered(status)) return
         val response =
             DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
@@ -128,7 +130,7 @@
             )
         response.headers().set(headers)
         HttpUtil.setContentLength(response, body.size.toLong())
-        finish(response)
+        if (endUnanswered(status)) finish(response)
     }
 
     /** Starts a response with the headers of another server's response; its body is sent in parts. */
@@ -195,40 +197,52 @@
 
     private fun finish(last: Any) {
         if (last is HttpResponse) setConnectionHeader(last)
-        val close = !keepAlive || isClosing()
         val future = ctx.writeAndFlush(last)
-        if (close) {
+        if (closes) {
             future.addListener(ChannelFutureListener.CLOSE)
         } else {
-            future.addListener { ctx.executor().execute(onEnd) }
+            future.addListener { if (it.isSuccess) ctx.executor().execute(onEnd) else onWriteFailed(it.cause()) }
         }
     }
 
+    /** Closes the connection, since the caller of a response that was not written would wait in vain. */
+    private fun onWriteFailed(cause: Throwable) {
+        if (cause !is IOException) EventLog.warn("response not written", "path" to path, "cause" to cause)
+        ctx.close()
+    }
+
+    /** Decides once whether the connection closes, since a caller may send its next request after any other head. */
     private fun setConnectionHeader(response: HttpResponse) {
-        if (!keepAlive || isClosing()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        closes = !keepAlive || isClosing()
+        if (closes) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 }
 
-/** Handles the requests of one connection one at a time, in order. */
+/**
+ * Handles the requests of one connection one at a time, in order.
+ *
+ * While a few requests wait for the answer to an earlier one, no more are read. An answer does not close the
+ * connection while requests wait behind it.
+ */
 internal class ServerExchangeHandler(
     private val isClosing: () -> Boolean,
     private val handler: (ServerExchange) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var current: ServerExchange? = null
-    private var next: AssembledRequest? = null
+    private val waiting = ArrayDeque<AssembledRequest>()
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
         val request = message as AssembledRequest
+        timeouts(ctx).onRequestComplete()
         if (current == null) {
             begin(ctx, request)
-        } else if (next == null) {
-            next = request
         } else {
-            // Buffering more than one pipelined request would let one connection hold unbounded memory.
-            ctx.close()
+            waiting += request
+            // A read may have returned more requests, so their number is bounded by the size of one read.
+            if (waiting.size >= MAX_WAITING) ctx.channel().config().isAutoRead = false
         }
     }
 
@@ -236,18 +250,39 @@
         ctx: ChannelHandlerContext,
         request: AssembledRequest,
     ) {
-        val connection = ctx.pipeline().get(RequestTimeoutHandler::class.java)
+        val connection = timeouts(ctx)
         connection.onRequestReceived()
-        val exchange = ServerExchange(ctx, request, connection, isClosing) { onExchangeEnded(ctx) }
+        val closesAfter = { isClosing() && waiting.isEmpty() }
+        val exchange = ServerExchange(ctx, request, connection, closesAfter) { onExchangeEnded(ctx) }
         current = exchange
-        handler(exchange)
+        try {
+            handler(exchange)
+        } catch (e: Exception) {
+            onHandlerFailed(exchange, e)
+        } catch (e: StackOverflowError) {
+            onHandlerFailed(exchange, e)
+        }
+    }
+
+    /** Ends an exchange that its handler may have left without an end; the request may have run. */
+    private fun onHandlerFailed(
+        exchange: ServerExchange,
+        cause: Throwable,
+    ) {
+        logFailure(cause)
+        exchange.respond(HttpAnswer.json(BAD_GATEWAY, UNEXPECTED_ERROR))
     }
 
+    private fun logFailure(cause: Throwable) =
+        EventLog.warn("request failed", "cause" to cause, "at" to cause.stackTrace.firstOrNull())
+
+    private fun timeouts(ctx: ChannelHandlerContext) = ctx.pipeline().get(RequestTimeoutHandler::class.java)
+
     private fun onExchangeEnded(ctx: ChannelHandlerContext) {
         current = null
-        val request = next
-        next = null
+        val request = waiting.removeFirstOrNull()
         if (request != null) {
+            if (waiting.size < MAX_WAITING) ctx.channel().config().isAutoRead = true
             begin(ctx, request)
         } else {
             startIdleTimeout(ctx)
@@ -267,6 +302,7 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        waiting.clear()
         current?.onConnectionClosed()
         current = null
         ctx.fireChannelInactive()
@@ -277,7 +313,14 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        if (cause !is IOException) EventLog.warn("request failed", "cause" to cause)
+        // A reset of the caller's connection is no fault; its request logs its own end.
+        if (cause !is IOException) logFailure(cause)
         ctx.close()
     }
+
+    private companion object {
+        const val MAX_WAITING = 2
+        const val BAD_GATEWAY = 502
+        const val UNEXPECTED_ERROR = """{"error":{"outcome":"unknown","reason":"unexpected_error"}}"""
+    }
 }
