Accept established connections right before the listener closes

What callers saw: a connection beside a planned stop was reset without an answer, although its request had been sent.

Cause: the listener closes 20 ms after the decision, from a task of the event loop. A connection that is established while the same iteration of the loop is busy with other connections was not accepted before the task ran, and the close reset it. A loop that waits for processor time makes that window long.

Evidence: `HttpServerTest`, "serves a connection that is established just before the listener closes", keeps the loop busy across the 20 ms. On the code before: `java.net.SocketException: Connection reset`, 1 error of 12 tests. With the change all 12 pass.

The task now accepts until nothing is waiting, and closes the listener in the same step, so what remains is the time between two system calls.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -1,14 +1,12 @@
 package oriolespindle.router.http
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.ssl.SslContext
@@ -38,7 +36,7 @@
     private val handler: (ServerExchange) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
-    private var listener: Channel? = null
+    private var listener: ListenerChannel? = null
 
     private val lastConnectionNumber = AtomicLong()
 
@@ -53,14 +51,14 @@
         val channel =
             ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel::class.java)
+                .channel(ListenerChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_MARK, HIGH_MARK))
                 .childHandler(Initializer())
                 .bind(address.toSocketAddress())
                 .sync()
-                .channel()
+                .channel() as ListenerChannel
         listener = channel
         val bound = channel.localAddress() as InetSocketAddress
         return Address(address.host, bound.port)
@@ -84,10 +82,16 @@
     fun stopAccepting() {
         val channel = listener ?: return
         val loop = channel.eventLoop()
-        val closed = loop.schedule({ channel.close() }, ACCEPT_DRAIN_MILLIS, TimeUnit.MILLISECONDS)
+        val closed = loop.schedule({ close(channel) }, ACCEPT_DRAIN_MILLIS, TimeUnit.MILLISECONDS)
         if (!loop.inEventLoop()) closed.syncUninterruptibly()
     }
 
+    private fun close(channel: ListenerChannel) {
+        // The event loop may have been busy since it last accepted connections.
+        channel.acceptEstablished()
+        channel.close()
+    }
+
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             if (connections.size >= settings.maxConnections) {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/HttpServerTest.kt
@@ -126,6 +126,35 @@
         expectThrows<IOException> { Socket(target.host, target.port).close() }
     }
 
+    // A connection that was established while the event loop was busy was reset by the close of the listener.
+    @Test
+    fun `serves a connection that is established just before the listener closes`() {
+        val entered = CountDownLatch(1)
+        val connected = CountDownLatch(1)
+        lateinit var server: HttpServer
+        server =
+            HttpServer(group, settings) { exchange ->
+                if (exchange.path == "/stop") {
+                    server.stopAccepting()
+                    entered.countDown()
+                    connected.await()
+                    Thread.sleep(ACCEPT_END_MILLIS)
+                }
+                exchange.respond(HttpAnswer.json(200, HANDLED))
+            }
+        val target = server.bind(Address("127.0.0.1", 0))
+        Socket(target.host, target.port).use { stopping ->
+            stopping.getOutputStream().write("GET /stop HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+            entered.await()
+            Socket(target.host, target.port).use { late ->
+                late.getOutputStream().write(CLOSING_GET.toByteArray())
+                connected.countDown()
+
+                expectThat(late.getInputStream().readAllBytes().decodeToString()).contains(HANDLED)
+            }
+        }
+    }
+
     @Test
     fun `does not leave a begun response open when another one is sent`() {
         val server =
