Keep the listener open while requests in flight keep a stopping instance running

What callers saw: 'no connection' at an instance that went on running.

Cause: half a second without a new connection was taken to mean that the load balancer has moved its traffic. With fewer than half of a zone's instances ready it sends to all of them, and pauses of half a second between connections are usual. Closing early gained nothing, since the exit waits for the requests in flight.

The listener now closes when no request is in flight, no connection was opened for `quietFor`, and connections are closed or idle; the exit follows one tick later, so that connections accepted last are answered.

In `InstanceShutdownTest`, "an instance without connections does not wait for another request" expected the exit in the step in which the last connection closes; it now expects the close of the listener there and the exit at the next tick, which is the changed order and as strict.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -36,7 +36,7 @@
     /** Report the instance as not ready, and ask callers in each further answer to close their connection. */
     public data object ReportUnready : ShutdownAction
 
-    /** Close the listener; requests on open connections are still served. */
+    /** Close the listener; requests on open connections are still answered. */
     public data object StopAccepting : ShutdownAction
 
     /** Close every connection that has no request and has been idle for at least [idleFor]. */
@@ -56,8 +56,8 @@
  *
  * The load balancer is considered to have moved its traffic once the instance has been unready for [unreadyFor], which
  * covers two readiness checks of 2 s and their lag, and no connection was opened for [quietFor]. [acceptAtMost] is the
- * longest wait for a load balancer that ignores readiness. A connection is closed only after it was idle for [idleFor],
- * because a request is more likely to be in transit on a connection that was used recently.
+ * longest time that the listener stays open for a load balancer that goes on sending. A connection is closed only after
+ * it was idle for [idleFor], because a request is more likely to be in transit on a connection that was used recently.
  *
  * The platform kills the process once [grace] has passed since the shutdown was requested; with null it never does.
  * Requests that are still in flight [endReserve] before that are ended.
@@ -81,6 +81,9 @@
 /**
  * Graceful shutdown of an instance: it stops accepting connections and exits once all requests have finished, or
  * shortly before the platform kills it. [LateRequestPolicy] decides which requests are still accepted meanwhile.
+ *
+ * The listener stays open as long as requests in flight keep the process running. A load balancer with too few ready
+ * instances goes on sending connections, and each caller is then answered, at worst with a refusal.
  */
 public class InstanceShutdown(
     private val settings: ShutdownSettings = ShutdownSettings(),
@@ -182,9 +185,10 @@
         when {
             phase == Phase.CLOSING && canExit(now) -> exit()
             phase == Phase.CLOSING -> listOf(closeIdle())
-            hasTrafficMoved(now) -> stopAccepting()
-            now - requestedAt >= settings.unreadyFor -> listOf(closeIdle())
-            else -> emptyList()
+            now - requestedAt < settings.unreadyFor -> emptyList()
+            hasTrafficMoved(now) && canExit(now) -> stopAccepting()
+            now - requestedAt >= settings.acceptAtMost -> stopAccepting()
+            else -> listOf(closeIdle())
         }
 
     private fun closeIdle() = ShutdownAction.CloseIdle(settings.idleFor)
@@ -195,11 +199,7 @@
         return first + ShutdownAction.CloseIdle(Duration.ZERO) + ShutdownAction.EndRequests
     }
 
-    private fun hasTrafficMoved(now: Timestamp): Boolean {
-        val waited = now - requestedAt
-        val quiet = waited >= settings.unreadyFor && now - lastConnectionAt >= settings.quietFor
-        return quiet || waited >= settings.acceptAtMost
-    }
+    private fun hasTrafficMoved(now: Timestamp): Boolean = now - lastConnectionAt >= settings.quietFor
 
     private fun stopAccepting(): List<ShutdownAction> {
         phase = Phase.CLOSING
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/InstanceShutdownTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/InstanceShutdownTest.kt
@@ -122,6 +122,9 @@
             .isEqualTo(listOf(ShutdownAction.CloseIdle(1.seconds)))
         shutdown.handle(Timestamp.ZERO + 3_100.milliseconds, ShutdownEvent.ConnectionClosed)
         expectThat(shutdown.handle(Timestamp.ZERO + 3_200.milliseconds, ShutdownEvent.Tick))
+            .isEqualTo(listOf(ShutdownAction.StopAccepting, ShutdownAction.CloseIdle(1.seconds)))
+        // Connections that were established when the listener closed may still bring a request.
+        expectThat(shutdown.handle(Timestamp.ZERO + 3_300.milliseconds, ShutdownEvent.Tick))
             .isEqualTo(listOf(ShutdownAction.CloseIdle(Duration.ZERO), ShutdownAction.Exit))
     }
 
