Know the grace period in the product's own front end

What callers saw: an instance that the platform kills some seconds after SIGTERM went on accepting requests of any length, and ended with requests in flight, whose callers got a cut connection.

Cause: the shutdown of the product's own router knew no end.

Change: `--termination-grace-seconds`, as in the adapter, is the grace period of InstanceShutdown. After SIGTERM a request is accepted only if its time limit (the smaller of the caller's and the contract's) ends before the instance does (WorkTimeLimit). Requests that were held or queued are asked again when their turn comes. Retries end with the instance.

Why it works: a limit that the request has itself, and not a forecast, tells when it ends, and none is left when the process is killed. Without the option nothing changes.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimCall.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimCall.kt
@@ -80,6 +80,7 @@
             is ClaimEvent.NotSent -> if (phase == Phase.SENT) release(event.reason, NOT_SENT) else emptyList()
             is ClaimEvent.DeadlinePassed -> onDeadlinePassed()
             is ClaimEvent.WokeFromPause -> onWokeFromPause()
+            is ClaimEvent.InstanceEnding -> onInstanceEnding()
         }
 
     private fun start(now: Timestamp): List<ClaimAction> {
@@ -352,6 +353,31 @@
         }
     }
 
+    private fun onInstanceEnding(): List<ClaimAction> =
+        when (phase) {
+            Phase.NEW, Phase.CLAIMING, Phase.READING -> {
+                notRun(RefusalReason.STOPPING, STOPPING)
+            }
+
+            Phase.WAITING -> {
+                stopWaiting()
+            }
+
+            Phase.SENT -> {
+                val outcome =
+                    CallOutcome.Unknown(
+                        UnknownReason.INSTANCE_STOPPED,
+                        "no answer came before this instance stopped",
+                    )
+                answerOnce(ClaimOutcome.Unknown(outcome, settings.retryAfter)) +
+                    store(ClaimState.Unknown(UnknownReason.INSTANCE_STOPPED))
+            }
+
+            Phase.STORING, Phase.FINISHED -> {
+                emptyList()
+            }
+        }
+
     private fun store(state: ClaimState): List<ClaimAction> {
         phase = Phase.STORING
         storedState = state
@@ -405,6 +431,7 @@
         const val TOO_LATE = "the deadline passed before the call was sent"
         const val EXPIRED = "the claim was not confirmed while it was valid"
         const val NO_PLATFORM = "the platform cannot store the claim of this call"
+        const val STOPPING = "this instance stopped before the call was sent"
         const val NOT_SENT = "no endpoint was reached"
     }
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimMessages.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/claim/ClaimMessages.kt
@@ -76,6 +76,9 @@
 
     /** The process was paused for longer than the instance tolerates. */
     public data object WokeFromPause : ClaimEvent
+
+    /** The process is about to end; at most the outcome can still be stored. */
+    public data object InstanceEnding : ClaimEvent
 }
 
 /** An action that the owner of a [ClaimCall] performs for it. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/outcome/UnknownReason.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/outcome/UnknownReason.kt
@@ -10,4 +10,5 @@
     DEADLINE_PASSED("deadline_passed"),
     TRUNCATED_ANSWER("truncated_answer"),
     STREAM_LOST("stream_lost"),
+    INSTANCE_STOPPED("instance_stopped"),
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/ClaimCallTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/claim/ClaimCallTest.kt
@@ -4,6 +4,7 @@
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
+import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.outcome.UnknownReason
 import oriolespindle.core.time.Timestamp
 import strikt.api.expectThat
@@ -64,6 +65,32 @@
         expectThat(counts.done).isGreaterThan(counts.requests / 4)
     }
 
+    /** Guards against a caller that is cut off, or told too much, when its instance ends before its call. */
+    @Test
+    fun `the end of the instance refuses a call that was not sent and leaves a sent one unknown`() {
+        val claiming = ClaimCall(InstanceId("i"), request("first"))
+        claiming.handle(Timestamp.ZERO, ClaimEvent.Start)
+        val refused = outcomes(claiming.handle(Timestamp.ZERO, ClaimEvent.InstanceEnding)).single()
+        expectThat(refused).isA<ClaimOutcome.NotRun>().get { outcome.reason }.isEqualTo(RefusalReason.STOPPING)
+        val held = claiming.handle(Timestamp.ZERO, ClaimEvent.WriteApplied(ClaimVersion(1)))
+        expectThat(held.single()).isA<ClaimAction.StoreOutcome>().get { value.state }.isEqualTo(ClaimState.NotRun)
+
+        val sent = ClaimCall(InstanceId("i"), request("second"))
+        sent.handle(Timestamp.ZERO, ClaimEvent.Start)
+        sent.handle(Timestamp.ZERO, ClaimEvent.WriteApplied(ClaimVersion(1)))
+        val ended = sent.handle(Timestamp.ZERO, ClaimEvent.InstanceEnding)
+        expectThat(outcomes(ended).single())
+            .isA<ClaimOutcome.Unknown>()
+            .get { outcome.reason }
+            .isEqualTo(UnknownReason.INSTANCE_STOPPED)
+        expectThat(
+            ended
+                .filterIsInstance<ClaimAction.StoreOutcome>()
+                .single()
+                .value.state,
+        ).isEqualTo(ClaimState.Unknown(UnknownReason.INSTANCE_STOPPED))
+    }
+
     @Test
     fun `the schedules detect duplicate effects and false not-run answers`() {
         expectThat(run(Defect.LOST_WRITE_TREATED_AS_APPLIED).duplicates).isGreaterThan(0)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -42,6 +42,7 @@
 import java.io.File
 import java.util.concurrent.Executors
 import java.util.random.RandomGenerator
+import kotlin.time.Duration.Companion.milliseconds
 
 /** One instance of the router: creates its servers and components and connects them. */
 internal class Router(
@@ -187,7 +188,12 @@
             }
 
             is ShutdownAction.EndRequests -> {
-                callerServer.closeConnections()
+                EventLog.warn(
+                    "requests are ended before the process is killed",
+                    "instance" to settings.instance,
+                    "in_flight" to shutdown.requestsInFlight,
+                )
+                requests.endRequests()
             }
 
             is ShutdownAction.Exit -> {
@@ -205,10 +211,12 @@
 
     private fun shutdownSettings(): ShutdownSettings {
         val defaults = ShutdownSettings()
+        val acceptAtMost = settings.terminationGrace?.minus(CLOSING_TIME) ?: defaults.acceptAtMost
         return ShutdownSettings(
             unreadyFor = settings.drainGrace,
             quietFor = minOf(settings.drainGrace, defaults.quietFor),
-            acceptAtMost = maxOf(settings.drainGrace, defaults.acceptAtMost),
+            acceptAtMost = maxOf(settings.drainGrace, acceptAtMost),
+            grace = settings.terminationGrace,
         )
     }
 
@@ -232,6 +240,7 @@
             offer = offer,
             onWorkStarted = { shutdown.onWorkStarted(it) },
             onWorkFinished = { shutdown.onWorkFinished(it) },
+            timeLeft = { shutdown.timeLeft },
         )
 
     private fun modelRoutes(
@@ -262,5 +271,8 @@
     private companion object {
         const val EVENT_LOOPS = 4
         const val POLL_TIMEOUT_FACTOR = 4
+
+        /** The listener closes this long before the process is killed. */
+        val CLOSING_TIME = 1_500.milliseconds
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Admission.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Admission.kt
@@ -64,6 +64,11 @@
         repeat(held.size) { admitOrHold(held.removeFirst()) }
     }
 
+    /** Refuses the held requests with [refusal]. */
+    fun refuseHeld(refusal: CallOutcome.NotRun) {
+        repeat(held.size) { held.removeFirst().onRefused(refusal) }
+    }
+
     private fun admitOrHold(request: HeldRequest) {
         val now = context.now()
         val contract = request.caller.contract
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CallerApi.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CallerApi.kt
@@ -45,7 +45,12 @@
             return
         }
         val now = context.now()
-        route(CallerRequest(id, exchange, contract, now, now + timeout))
+        val refusal = context.refusalBeforeEnd(id, now + timeout)
+        if (refusal == null) {
+            route(CallerRequest(id, exchange, contract, now, now + timeout))
+        } else {
+            refuse(id, exchange, contract.team, refusal)
+        }
     }
 
     private fun route(request: CallerRequest) {
@@ -89,9 +94,16 @@
         team: TeamId?,
         reason: RefusalReason,
         message: String,
+    ) = refuse(id, exchange, team, CallOutcome.NotRun(reason, message))
+
+    private fun refuse(
+        id: RequestId,
+        exchange: ServerExchange,
+        team: TeamId?,
+        refusal: CallOutcome.NotRun,
     ) {
-        context.countRefusal(team, reason)
-        exchange.respond(Answers.notRun(id, CallOutcome.NotRun(reason, message)))
+        context.countRefusal(team, refusal.reason)
+        exchange.respond(Answers.notRun(id, refusal))
     }
 
     private companion object {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/CompletionSession.kt
@@ -132,6 +132,13 @@
         if (!isFinished) finish()
     }
 
+    /** Ends the session, because this instance is about to end. */
+    fun onInstanceEnding() {
+        if (isFinished) return
+        val message = "this instance stopped before the completion had ended"
+        fail(if (attempt == null) context.stopping() else CallOutcome.Unknown(UnknownReason.INSTANCE_STOPPED, message))
+    }
+
     private fun send(
         chain: Chain,
         cache: List<StageCache>,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/Completions.kt
@@ -58,9 +58,7 @@
             WaitingCompletion(
                 caller = caller,
                 request = request,
-                start = {
-                    if (caller.exchange.isEnded) onCancelled(request, permit) else start(caller, request, permit)
-                },
+                start = { startOrRefuse(caller, request, permit) },
                 onRefused = { outcome ->
                     admission.settle(permit, TokenCost.NONE)
                     refuse(caller, outcome)
@@ -69,6 +67,29 @@
         scheduler.offer(waiting)
     }
 
+    /** A completion may have waited since before the shutdown. */
+    private fun startOrRefuse(
+        caller: CallerRequest,
+        request: CompletionRequest,
+        permit: Permit,
+    ) {
+        val refusal = context.refusalBeforeEnd(caller.id, caller.deadline)
+        when {
+            caller.exchange.isEnded -> {
+                onNotStarted(request, permit)
+            }
+
+            refusal != null -> {
+                onNotStarted(request, permit)
+                refuse(caller, refusal)
+            }
+
+            else -> {
+                start(caller, request, permit)
+            }
+        }
+    }
+
     private fun refuse(
         caller: CallerRequest,
         outcome: CallOutcome.NotRun,
@@ -92,6 +113,13 @@
         sessions[request]?.onCallerGone()
     }
 
+    /** Ends the completions in progress, because this instance is about to end. */
+    fun endRequests() {
+        scheduler.refuseWaiting(context.stopping())
+        // Iterates over a copy, because a session that ends is removed from the map.
+        sessions.values.toList().forEach { it.onInstanceEnding() }
+    }
+
     fun tick(now: Timestamp) {
         crashes.tick(now)
         // Iterates over a copy, because a tick can end a session and so remove it from the map.
@@ -124,8 +152,8 @@
         session.start()
     }
 
-    /** Releases the permit and the slot of a request whose caller disconnected before it was started. */
-    private fun onCancelled(
+    /** Releases the permit and the slot of a request that was not started when its turn came. */
+    private fun onNotStarted(
         request: CompletionRequest,
         permit: Permit,
     ) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/DirectCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/DirectCall.kt
@@ -44,18 +44,38 @@
     private val tried = HashSet<EndpointId>()
     private var attempt = AttemptNumber.FIRST
     private var mayHaveRun = false
+    private var isSending = false
+    private var isFinished = false
 
     fun start() {
         retries.onRequestAdmitted(context.now(), caller.contract.team, service)
         send()
     }
 
+    /** Ends the call, because this instance is about to end. */
+    fun onInstanceEnding() {
+        val message = "this instance stopped before the call had ended"
+        val isUnknown = isSending || mayHaveRun
+        finish(
+            DirectCallResult.Failed(
+                if (isUnknown) CallOutcome.Unknown(UnknownReason.INSTANCE_STOPPED, message) else context.stopping(),
+            ),
+        )
+    }
+
+    private fun finish(result: DirectCallResult) {
+        if (isFinished) return
+        isFinished = true
+        onFinished(result)
+    }
+
     private fun send() {
+        if (isFinished) return
         val candidates = sender.candidates(context.directory.servers(service))
         val server = candidates.firstOrNull { it.id !in tried } ?: candidates.firstOrNull()
         if (server == null) {
             val message = "service '${service.value}' has no endpoint"
-            onFinished(
+            finish(
                 DirectCallResult.Failed(
                     CallOutcome.NotRun(RefusalReason.NO_ENDPOINT, message, NO_ENDPOINT_RETRY_DELAY),
                 ),
@@ -65,6 +85,7 @@
         tried += server.id
         val timeout = (caller.deadline - context.now()).coerceAtLeast(Duration.ZERO)
         val limits = SendLimits(timeout, freshConnection = !isIdempotent || attempt != AttemptNumber.FIRST)
+        isSending = true
         sender.send(call, server, limits) { result -> onResult(server, result) }
     }
 
@@ -72,8 +93,10 @@
         server: ServiceEndpoint,
         result: ServiceResult,
     ) {
+        isSending = false
+        if (isFinished) return
         when (result) {
-            is ServiceResult.Answered -> onFinished(DirectCallResult.Answered(result))
+            is ServiceResult.Answered -> finish(DirectCallResult.Answered(result))
             is ServiceResult.NotSent -> onAttemptFailed(RetryReason.CONNECT_FAILED, reached = false)
             is ServiceResult.NotRun -> onNotRun(result)
             is ServiceResult.Lost -> onLost(server, result)
@@ -87,7 +110,7 @@
         if (result.timedOut) {
             context.http.closeIdle(server.address)
             val outcome = CallOutcome.Unknown(UnknownReason.DEADLINE_PASSED, "no answer came by the deadline")
-            onFinished(DirectCallResult.Failed(outcome))
+            finish(DirectCallResult.Failed(outcome))
         } else {
             onAttemptFailed(RetryReason.CONNECTION_RESET, reached = true)
         }
@@ -113,13 +136,13 @@
                 reachedEndpoint = reached,
                 saidNotRun = saidNotRun,
                 earlierMayHaveRun = mayHaveRun,
-                deadline = caller.deadline,
+                deadline = context.latestEnd(caller.deadline),
                 expectedDuration = EXPECTED_CALL_DURATION,
                 endpointRetryAfter = retryAfter,
             )
         mayHaveRun = failure.mayHaveRun
         when (val decision = retries.decide(context.now(), failure)) {
-            is RetryDecision.Answer -> onFinished(DirectCallResult.Failed(decision.outcome))
+            is RetryDecision.Answer -> finish(DirectCallResult.Failed(decision.outcome))
             is RetryDecision.Retry -> retry(decision)
         }
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/FairScheduler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/FairScheduler.kt
@@ -88,6 +88,16 @@
         }
     }
 
+    /** Refuses all queued completions with [refusal]. */
+    fun refuseWaiting(refusal: CallOutcome.NotRun) {
+        val now = context.now()
+        for (model in models.values.toList()) {
+            model.queue.expire(now).forEach { it.entry.payload.onRefused(refusal) }
+            generateSequence { model.queue.poll(now) as? PollResult.Start }
+                .forEach { it.entry.payload.onRefused(refusal) }
+        }
+    }
+
     /** Records the demand at another instance. */
     fun onDemandReport(
         from: InstanceId,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -104,6 +104,14 @@
     /** Informs the claimed calls that this process was paused. */
     fun onWokeFromPause() = context.continueWith { services.onWokeFromPause() }
 
+    /** Ends the requests in progress and answers their callers, because this instance is about to end. */
+    fun endRequests() =
+        context.continueWith {
+            admission.refuseHeld(context.stopping())
+            completions.endRequests()
+            services.endRequests()
+        }
+
     /** Accepts changed objects, or returns false if the ring buffer is full and they must be offered again. */
     fun offerChanges(items: List<StoredObject>): Boolean = component.offer(RequestMessage.Changed(items))
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestContext.kt
@@ -5,16 +5,20 @@
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.id.ZoneId
+import oriolespindle.core.lifecycle.WorkTimeLimit
+import oriolespindle.core.outcome.CallOutcome
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.directory.Directory
 import oriolespindle.router.http.HttpClient
+import oriolespindle.router.logging.EventLog
 import oriolespindle.router.metrics.Metrics
 import oriolespindle.router.platform.PlatformClient
 import oriolespindle.router.runtime.TimerService
 import oriolespindle.router.runtime.monotonicNow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * State and services shared within the request component; the mutable state is confined to its thread.
@@ -31,6 +35,8 @@
     val offer: (RequestMessage) -> Boolean,
     val onWorkStarted: (RequestId) -> Unit,
     val onWorkFinished: (RequestId) -> Unit,
+    /** Returns the time until this instance ends requests in flight; null if it is not stopping or has no end. */
+    val timeLeft: () -> Duration?,
 ) {
     val directory: Directory = Directory()
     val contracts: ContractRegistry = ContractRegistry()
@@ -59,6 +65,30 @@
         teamUsage.countDone(team)
     }
 
+    /** Returns when work with [deadline] ends at the latest: then, or when this instance ends its requests. */
+    fun latestEnd(deadline: Timestamp): Timestamp = timeLeft()?.let { minOf(deadline, now() + it) } ?: deadline
+
+    /** Returns the refusal of work of [request] that may not end by [deadline] before this instance does; else null. */
+    fun refusalBeforeEnd(
+        request: RequestId,
+        deadline: Timestamp,
+    ): CallOutcome.NotRun? {
+        val left = timeLeft()
+        val limit = WorkTimeLimit(deadline - now())
+        if (limit.fitsInto(left)) return null
+        EventLog.info(
+            "request refused by a stopping instance",
+            "request" to request,
+            "limit_ms" to limit.duration.inWholeMilliseconds,
+            "left_ms" to left?.inWholeMilliseconds,
+        )
+        return stopping()
+    }
+
+    /** Returns the refusal of work that this instance has not begun and does not begin any more. */
+    fun stopping(): CallOutcome.NotRun =
+        CallOutcome.NotRun(RefusalReason.STOPPING, "this instance is stopping", STOPPING_RETRY_DELAY)
+
     /** Runs [block] on the request component's thread; retries while its ring buffer is full. */
     fun continueWith(block: () -> Unit) {
         post(RequestMessage.Continue(block))
@@ -79,5 +109,8 @@
     private companion object {
         const val ID_RADIX = 36
         val RING_RETRY_DELAY = 2.milliseconds
+
+        /** Another instance may serve the request at once; `Retry-After` has whole seconds. */
+        val STOPPING_RETRY_DELAY = 1.seconds
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceCalls.kt
@@ -33,6 +33,7 @@
     private val isLive: (InstanceId) -> Boolean,
 ) {
     private val claimedCalls = HashSet<ClaimedCall>()
+    private val directCalls = HashSet<DirectCall>()
     private val pruner = ClaimPruner(KeyRules())
 
     /** Informs the claimed calls that this process was paused, so that none sends under a claim from before. */
@@ -40,6 +41,12 @@
         claimedCalls.toList().forEach { it.handle(ClaimEvent.WokeFromPause) }
     }
 
+    /** Ends the calls in progress, because this instance is about to end. */
+    fun endRequests() {
+        claimedCalls.toList().forEach { it.handle(ClaimEvent.InstanceEnding) }
+        directCalls.toList().forEach { it.onInstanceEnding() }
+    }
+
     fun handle(request: CallerRequest) {
         val rest = request.exchange.uri.removePrefix("/services/")
         val name = rest.substringBefore('?').substringBefore('/')
@@ -74,8 +81,11 @@
                 request.exchange.whenAnswered {
                     context.continueWith { admission.settle(permit, TokenCost.NONE) }
                 }
+                // A call may have been held since before the shutdown.
+                val refusal = context.refusalBeforeEnd(request.id, request.deadline)
                 when {
                     request.exchange.isEnded -> Unit
+                    refusal != null -> respondNotRun(request, refusal)
                     isNonIdempotent -> handleNonIdempotent(request, service, uri)
                     else -> sendDirectly(request, service, uri, isIdempotent = true)
                 }
@@ -166,16 +176,23 @@
         uri: String,
         isIdempotent: Boolean,
     ) {
-        DirectCall(
-            context = context,
-            sender = sender,
-            retries = retries,
-            caller = request,
-            service = service,
-            call = ServiceCall.of(request, uri),
-            isIdempotent = isIdempotent,
-            onFinished = { result -> onDirectCallFinished(request, result) },
-        ).start()
+        lateinit var call: DirectCall
+        call =
+            DirectCall(
+                context = context,
+                sender = sender,
+                retries = retries,
+                caller = request,
+                service = service,
+                call = ServiceCall.of(request, uri),
+                isIdempotent = isIdempotent,
+                onFinished = { result ->
+                    directCalls.remove(call)
+                    onDirectCallFinished(request, result)
+                },
+            )
+        directCalls += call
+        call.start()
     }
 
     private fun onDirectCallFinished(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/StreamRecovery.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/StreamRecovery.kt
@@ -129,7 +129,7 @@
                 reachedEndpoint = failed.reached,
                 saidNotRun = failed.saidNotRun,
                 earlierMayHaveRun = mayHaveRun,
-                deadline = deadline,
+                deadline = context.latestEnd(deadline),
                 expectedDuration = repair.estimatedCost,
                 cost = cost(failed),
             )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/Settings.kt
@@ -18,6 +18,8 @@
     val seedPeers: List<Address>,
     val logFormat: LogFormat,
     val drainGrace: Duration,
+    /** The time from SIGTERM until the platform kills the process; null if it does not. */
+    val terminationGrace: Duration?,
     val platformTimeout: Duration,
     val loadPollInterval: Duration,
     val tlsCertificate: String?,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsOptions.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsOptions.kt
@@ -20,6 +20,7 @@
 import java.nio.file.InvalidPathException
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The command-line options of an instance; each can also be set by its environment variable. */
 internal class SettingsOptions : OptionGroup(name = "Settings") {
@@ -66,6 +67,11 @@
         "Milliseconds for which a stopping instance keeps accepting connections (0 to 600000).",
     ).int().restrictTo(0..MAX_DRAIN_GRACE_MS).default(DEFAULT_DRAIN_GRACE_MS)
 
+    private val terminationGrace by setting(
+        "--termination-grace-seconds",
+        "Time in seconds from SIGTERM until the platform kills the process (1 to 3600); default: it does not.",
+    ).int().restrictTo(1..MAX_TERMINATION_GRACE_SECONDS)
+
     private val platformTimeoutMillis by setting(
         "--platform-timeout-ms",
         "Milliseconds to wait for a response of the platform (50 to 60000).",
@@ -101,6 +107,7 @@
             seedPeers = seedPeers,
             logFormat = logFormat,
             drainGrace = drainGraceMillis.milliseconds,
+            terminationGrace = terminationGrace?.seconds,
             platformTimeout = platformTimeoutMillis.milliseconds,
             loadPollInterval = loadPollMillis.milliseconds,
             tlsCertificate = tlsCertificate,
@@ -135,6 +142,7 @@
         private const val MIN_KEY_BYTES = 16
         private const val MAX_DRAIN_GRACE_MS = 600_000
         private const val DEFAULT_DRAIN_GRACE_MS = 5_000
+        private const val MAX_TERMINATION_GRACE_SECONDS = 3_600
         private const val MIN_TIMEOUT_MS = 50
         private const val MAX_TIMEOUT_MS = 60_000
         private const val DEFAULT_TIMEOUT_MS = 2_000
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsReport.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/settings/SettingsReport.kt
@@ -41,6 +41,11 @@
             "--seed-peers" to settings.seedPeers.joinToString(","),
             "--log-format" to settings.logFormat.name.lowercase(),
             "--drain-grace-ms" to settings.drainGrace.inWholeMilliseconds.toString(),
+            "--termination-grace-seconds" to
+                settings.terminationGrace
+                    ?.inWholeSeconds
+                    ?.toString()
+                    .orEmpty(),
             "--platform-timeout-ms" to settings.platformTimeout.inWholeMilliseconds.toString(),
             "--load-poll-ms" to settings.loadPollInterval.inWholeMilliseconds.toString(),
             "--tls-certificate" to settings.tlsCertificate.orEmpty(),
