Count the grace period from the signal, and the ready instances by their ids

The time left was counted from the moment at which the event loop handled SIGTERM. A loop that is occupied then, for example with a large configuration (0.17 s to 0.27 s were seen), ends requests that much later, and the kill can come first. The shutdown also begins before the placement lease is released, so that an error there cannot keep the instance ready until the kill; a second signal has no effect.

The share of ready instances came from the number of registered ones, and any id in an announcement counted, also the instance's own. It is now made from the ids of the zone's instances that exchange hints (StoppingPeersTest); without such instances it is 0, so that nothing is refused in the hope of others. Entries of instances that never return still count as ready.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/StoppingPeers.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/StoppingPeers.kt
@@ -8,29 +8,33 @@
 /**
  * Remembers which other instances of the availability zone have announced that they stop.
  *
- * A stopping instance repeats its announcement until its process ends. An announcement counts for [ttl], which covers
- * lost ones and the start of the process that follows.
+ * A stopping instance repeats its announcement until its process ends. An announcement counts for [ttl], so that neither
+ * a lost one nor the start of the next process looks like an instance that is ready.
  */
 public class StoppingPeers(
     private val ttl: Duration = 3.seconds,
 ) {
     private val announcedAt = HashMap<InstanceId, Timestamp>()
 
-    /** The number of other instances that are registered in the zone. */
-    public var peers: Int = 0
+    /** The other instances of the zone that announce their stops; announcements of any other id are ignored. */
+    public var peers: Set<InstanceId> = emptySet()
+        set(value) {
+            field = value
+            announcedAt.keys.retainAll(value)
+        }
 
     /** Called when [instance] announces that it stops. */
     public fun onStopping(
         now: Timestamp,
         instance: InstanceId,
     ) {
-        announcedAt[instance] = now
+        if (instance in peers) announcedAt[instance] = now
     }
 
-    /** Returns the share of the other instances that have not announced that they stop; 0 if there are none. */
+    /** Returns the share of [peers] that have not announced that they stop; 0 if there are none. */
     public fun readyShare(now: Timestamp): Double {
-        announcedAt.values.removeIf { now - it >= ttl }
-        if (peers <= 0) return 0.0
-        return (peers - announcedAt.size).coerceAtLeast(0) / peers.toDouble()
+        if (peers.isEmpty()) return 0.0
+        val stopping = announcedAt.values.count { now - it < ttl }
+        return (peers.size - stopping) / peers.size.toDouble()
     }
 }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/StoppingPeersTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/StoppingPeersTest.kt
@@ -14,14 +14,13 @@
 
     @Test
     fun `an instance without others in its zone has none that are ready`() {
-        expectThat(stopping.readyShare(start)).isEqualTo(0.0)
-        stopping.peers = -1
+        stopping.onStopping(start, InstanceId("a"))
         expectThat(stopping.readyShare(start)).isEqualTo(0.0)
     }
 
     @Test
     fun `an instance counts as stopping until its announcement is too old`() {
-        stopping.peers = 2
+        stopping.peers = setOf(InstanceId("a"), InstanceId("b"))
         expectThat(stopping.readyShare(start)).isEqualTo(1.0)
         stopping.onStopping(start, InstanceId("a"))
         stopping.onStopping(start + 1.seconds, InstanceId("a"))
@@ -31,10 +30,12 @@
     }
 
     @Test
-    fun `announcements of instances that are not registered yet do not make the share negative`() {
-        stopping.peers = 1
-        listOf("a", "b").forEach { stopping.onStopping(start, InstanceId(it)) }
+    fun `announcements of instances that are no peers do not count`() {
+        stopping.peers = setOf(InstanceId("a"), InstanceId("b"))
+        listOf("a", "c").forEach { stopping.onStopping(start, InstanceId(it)) }
+        expectThat(stopping.readyShare(start)).isEqualTo(0.5)
 
-        expectThat(stopping.readyShare(start)).isEqualTo(0.0)
+        stopping.peers = setOf(InstanceId("b"))
+        expectThat(stopping.readyShare(start)).isEqualTo(1.0)
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
@@ -42,8 +42,9 @@
     val requestsInFlight: Int
         @Synchronized get() = stateMachine.requestsInFlight
 
-    fun requestShutdown() {
-        handle(ShutdownEvent.Requested)
+    /** Begins the shutdown; it was requested at [at], which may be earlier if this thread was occupied. */
+    fun requestShutdown(at: Timestamp = monotonicNow()) {
+        handle(ShutdownEvent.Requested, at)
         timers.every(TICK_INTERVAL) { handle(ShutdownEvent.Tick) }
     }
 
@@ -57,8 +58,11 @@
     /** Removes work registered by [onWorkStarted]. */
     fun onWorkFinished(id: RequestId) = handle(ShutdownEvent.RequestFinished(id))
 
-    private fun handle(event: ShutdownEvent) {
-        val actions = synchronized(this) { stateMachine.handle(monotonicNow(), event) }
+    private fun handle(
+        event: ShutdownEvent,
+        now: Timestamp = monotonicNow(),
+    ) {
+        val actions = synchronized(this) { stateMachine.handle(now, event) }
         actions.forEach(perform)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioIoHandler
 import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
+import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.lifecycle.LeavingSource
 import oriolespindle.core.lifecycle.ShutdownAction
@@ -11,6 +12,7 @@
 import oriolespindle.core.relay.RelayConfiguration
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.core.relay.ServiceBudgets
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.Address
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.http.ConnectionObserver
@@ -200,13 +202,13 @@
         context.budgets.instances = all
         context.load.instances = inZone
         context.concurrency.instances = inZone
-        context.stoppingPeers.peers = inZone - 1
         placement?.onInstanceCountChanged(all)
     }
 
-    /** Replaces the addresses at which the other instances of this zone receive hints. */
-    public fun setRefusalPeers(peers: List<Address>) {
-        hints.peers = peers
+    /** Replaces the other instances of this zone that exchange hints, with the addresses at which they receive them. */
+    public fun setPeers(peers: Map<InstanceId, Address>) {
+        hints.peers = peers.values.toList()
+        context.stoppingPeers.peers = peers.keys
     }
 
     /** Called when the store stops answering this instance. */
@@ -221,13 +223,18 @@
         context.directory.onStoreRecovered(monotonicNow())
     }
 
-    /** Starts a graceful shutdown: the instance stops once every request in flight is answered. */
-    public fun shutDown() {
-        EventLog.info("shutdown requested", *loadFields())
-        placement?.stop()
-        shutdown.requestShutdown()
+    /**
+     * Starts a graceful shutdown that was requested at [requestedAt]: the instance stops once every request in flight is
+     * answered, and at the latest when its grace period from then on ends. Further calls have no effect.
+     */
+    public fun shutDown(requestedAt: Timestamp = monotonicNow()) {
+        if (shutdown.stoppingFor != null) return
+        val lag = monotonicNow() - requestedAt
+        EventLog.info("shutdown requested", *loadFields(), "lag_ms" to lag.inWholeMilliseconds)
+        shutdown.requestShutdown(requestedAt)
         announceStop()
         timers.every(STOP_ANNOUNCEMENT_INTERVAL, ::announceStop)
+        placement?.stop()
     }
 
     private fun announceStop() = hints.send(PeerHint.Stopping(settings.instance))
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutDespiteReadyPeerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutDespiteReadyPeerTest.kt
@@ -32,8 +32,7 @@
             relay = it
             it.configure(RelayFixture.route(RouteKind.IDEMPOTENT))
             it.register(endpoint.registration())
-            it.setInstancesInZone(2)
-            it.setRefusalPeers(Address("127.0.0.1", peer.localPort))
+            it.setPeer("p", Address("127.0.0.1", peer.localPort))
         }
     }
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -20,6 +20,7 @@
 import oriolespindle.core.relay.RouteKind
 import oriolespindle.core.relay.RouteTarget
 import oriolespindle.core.relay.ServiceBudgetSettings
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.Address
 import oriolespindle.router.runtime.monotonicNow
 import java.net.Socket
@@ -71,11 +72,12 @@
 
     fun register(vararg endpoints: RelayEndpoint) = onLoop { relay.replaceEndpoints(endpoints.toList()) }
 
-    fun setInstancesInZone(count: Int) = onLoop { relay.onInstanceCountChanged(all = count, inZone = count) }
+    fun setPeer(
+        id: String,
+        address: Address,
+    ) = onLoop { relay.setPeers(mapOf(InstanceId(id) to address)) }
 
-    fun setRefusalPeers(vararg peers: Address) = onLoop { relay.setRefusalPeers(peers.toList()) }
-
-    fun shutDown() = onLoop { relay.shutDown() }
+    fun shutDown(requestedAt: Timestamp = monotonicNow()) = onLoop { relay.shutDown(requestedAt) }
 
     /** Uses up the retry budget; must be called on the event loop. */
     fun spendRetries() {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
@@ -242,7 +242,7 @@
         serve(first, lost)
         DatagramSocket(0, InetAddress.getLoopbackAddress()).use { peer ->
             peer.soTimeout = DATAGRAM_TIMEOUT_MILLIS
-            relay.setRefusalPeers(Address("127.0.0.1", peer.localPort))
+            relay.setPeer("p", Address("127.0.0.1", peer.localPort))
             relay.call()
             val packet = DatagramPacket(ByteArray(MAX_DATAGRAM_BYTES), MAX_DATAGRAM_BYTES)
             peer.receive(packet)
