--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -60,7 +60,7 @@
  * it was idle for [idleFor], because a request is more likely to be in transit on a connection that was used recently.
  *
  * The platform kills the process once [grace] has passed since the shutdown was requested; with null it never does.
- * Requests that are still in flight [endReserve] before that are ended.
+ * Requests that are still in flight [endReserve] before that, or an eighth of [grace] if that is shorter, are ended.
  */
 public data class ShutdownSettings(
     public val unreadyFor: Duration = 5.seconds,
@@ -70,12 +70,18 @@
     public val grace: Duration? = null,
     public val endReserve: Duration = 500.milliseconds,
 ) {
+    internal val reserve: Duration get() = if (grace == null) endReserve else minOf(endReserve, grace / RESERVE_DIVISOR)
+
     /** How long after the request of the shutdown requests in flight are ended; null if they may take any time. */
-    internal val endAfter: Duration? get() = grace?.let { maxOf(Duration.ZERO, it - endReserve) }
+    internal val endAfter: Duration? get() = grace?.let { it - reserve }
 
     init {
         require(acceptAtMost >= unreadyFor) { "acceptAtMost is $acceptAtMost, must be at least $unreadyFor" }
     }
+
+    private companion object {
+        const val RESERVE_DIVISOR = 8
+    }
 }
 
 /**
@@ -175,7 +181,7 @@
 
             Phase.ENDING -> {
                 // Half of the reserve is left for callers that are slow to take the last bytes of their answers.
-                val isLate = timeLeft != null && -timeLeft >= settings.endReserve / 2
+                val isLate = timeLeft != null && -timeLeft >= settings.reserve / 2
                 if (inFlight.isEmpty() || isLate) exit() else emptyList()
             }
         }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AnswerDurations.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AnswerDurations.kt
@@ -20,23 +20,34 @@
         val service: ServiceId,
     )
 
-    private val recent = HashMap<Key, ArrayDeque<Duration>>()
+    private data class Ended(
+        val duration: Duration,
+        val isComplete: Boolean,
+    )
+
+    private val recent = HashMap<Key, ArrayDeque<Ended>>()
 
-    /** Records a request on [route] to [service] that ended after [duration], with its answer or without. */
+    /**
+     * Records a request on [route] to [service] that ended after [duration].
+     *
+     * If it ended without the complete answer, which is then known only to take longer, [isComplete] is false.
+     */
     public fun onEnded(
         route: String,
         service: ServiceId,
         duration: Duration,
+        isComplete: Boolean = true,
     ) {
-        add(Key(route, service), duration)
-        add(Key(null, service), duration)
+        val ended = Ended(duration, isComplete)
+        add(Key(route, service), ended)
+        add(Key(null, service), ended)
     }
 
     /**
-     * Returns the share of the recent answers that took at most [limit]; null if none of [service] is known.
+     * Returns the share of the recent answers that took at most [limit]; null if nothing of [service] is known about it.
      *
-     * [inProgress] has the ages of the requests on [route] that have not ended; those over [limit] count as answers
-     * that take longer.
+     * [inProgress] has the ages of the requests on [route] that have not ended. Like requests that ended without their
+     * answers, they count only if they have taken longer than [limit].
      */
     public fun shareWithin(
         route: String,
@@ -45,8 +56,9 @@
         inProgress: List<Duration> = emptyList(),
     ): Double? {
         val known = known(route, service) ?: return null
-        val longer = inProgress.count { it > limit }
-        return known.count { it <= limit } / (known.size + longer).toDouble()
+        val inTime = known.count { it.isComplete && it.duration <= limit }
+        val longer = known.count { it.duration > limit } + inProgress.count { it > limit }
+        return if (inTime + longer == 0) null else inTime / (inTime + longer).toDouble()
     }
 
     /** Forgets the routes that are not in [routes] and the services that are not in [services]. */
@@ -59,17 +71,17 @@
 
     private fun add(
         key: Key,
-        duration: Duration,
+        ended: Ended,
     ) {
-        val durations = recent.getOrPut(key, ::ArrayDeque)
-        if (durations.size == window) durations.removeFirst()
-        durations.addLast(duration)
+        val values = recent.getOrPut(key, ::ArrayDeque)
+        if (values.size == window) values.removeFirst()
+        values.addLast(ended)
     }
 
     private fun known(
         route: String,
         service: ServiceId,
-    ): List<Duration>? {
+    ): List<Ended>? {
         val ofRoute = recent[Key(route, service)]
         return if (ofRoute != null && ofRoute.size >= minAnswers) ofRoute else recent[Key(null, service)]
     }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AnswerDurationsTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/AnswerDurationsTest.kt
@@ -29,6 +29,17 @@
         expectThat(durations.shareWithin("r", service, 4.seconds, inProgress = ages)).isEqualTo(1.0)
     }
 
+    @Test
+    fun `requests that ended without their answers count only if they took longer`() {
+        durations.onEnded("r", service, 1.seconds, isComplete = false)
+        expectThat(durations.shareWithin("r", service, 2.seconds)).isNull()
+        durations.onEnded("r", service, 2.seconds)
+        durations.onEnded("r", service, 4.seconds, isComplete = false)
+
+        expectThat(durations.shareWithin("r", service, 2.seconds)).isEqualTo(0.5)
+        expectThat(durations.shareWithin("r", service, 4.seconds)).isEqualTo(1.0)
+    }
+
     @Test
     fun `a route with few answers is judged by its service`() {
         durations.onEnded("other", service, 2.seconds)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -339,7 +339,7 @@
         exchange.abort()
     }
 
-    protected fun complete(status: Int) = end("done", status.toString())
+    protected fun complete(status: Int) = end(DONE, status.toString())
 
     private fun end(
         outcome: String,
@@ -354,7 +354,9 @@
         onAttemptEnded()
         val duration = monotonicNow() - request.arrivedAt
         context.metrics.onRequestEnded(outcome, duration)
-        if (outcome != REFUSED) context.durations.onEnded(request.route.name, request.service.id, duration)
+        if (outcome != REFUSED) {
+            context.durations.onEnded(request.route.name, request.service.id, duration, isComplete = outcome == DONE)
+        }
         EventLog.info(
             "request ended",
             "request" to request.id,
@@ -402,6 +404,7 @@
     protected fun elapsed(since: Timestamp): Duration = monotonicNow() - since
 
     protected companion object {
+        private const val DONE = "done"
         private const val REFUSED = "refused"
         private const val LEFT = "left"
         const val BAD_GATEWAY = 502
