Weigh a cut answer against a refusal while a stopping instance may still get traffic

Cause: a request was refused whenever the answers that fit were fewer than the ready instances, as if a cut answer were worth nothing and a retry certain. A cut answer that may be repeated is resumed or repeated, and a refused caller has one retry.

Change: a request that may be repeated is accepted if its expected worth is at least that of a refusal, with a cut answer worth half and one in twenty retries lost: half of the recent answers must fit, and nine in ten if all other instances are ready. A null share refuses requests that may not be repeated, as their rule says. The log has the likelihood that decided.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/LateRequestPolicy.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/LateRequestPolicy.kt
@@ -9,11 +9,15 @@
  * @property redirectedAfter when the load balancer is expected to have moved its traffic to instances that are ready.
  * @property margin the factor by which an answer may take longer than the recent ones.
  * @property minLikelihood the share of recent answers that must fit even if no other instance is ready.
+ * @property cutWorth what an answer is worth that is cut and then repeated or resumed, against one that is complete.
+ * @property retryLoss the share of refused callers that get no answer although another instance is ready.
  */
 public data class LateRequestSettings(
     public val redirectedAfter: Duration = 2_500.milliseconds,
     public val margin: Double = 1.25,
     public val minLikelihood: Double = 0.5,
+    public val cutWorth: Double = 0.5,
+    public val retryLoss: Double = 0.05,
 )
 
 /** A request that arrives during the shutdown of an instance. */
@@ -31,8 +35,9 @@
  *
  * A request whose own time limit ends before the instance is always accepted. Once the load balancer has moved its
  * traffic, no other one is: recent answers do not tell how long the next one takes. Before that, a request that may be
- * repeated is accepted if its answer is as likely to be complete in time as a refused caller is to reach an instance
- * that is ready; one that may not be repeated is accepted only if all recent answers would be complete.
+ * repeated is accepted if that is worth more to its caller than a refusal, and if its answer is more likely than not to
+ * be complete in time. One that may not be repeated is accepted only if all recent answers would be complete. An answer
+ * of unknown duration is begun only if it may be repeated and no other instance is ready.
  */
 public class LateRequestPolicy(
     private val settings: LateRequestSettings = LateRequestSettings(),
@@ -51,8 +56,19 @@
     ): Boolean {
         if (timeLeft == null || request.limit <= timeLeft) return true
         if (timeLeft <= Duration.ZERO || stoppingFor >= settings.redirectedAfter) return false
-        val likelihood = request.shareWithin(timeLeft / settings.margin) ?: return readyElsewhere == 0.0
-        val required = if (request.mayRepeat) maxOf(readyElsewhere, settings.minLikelihood) else 1.0
-        return likelihood >= required
+        val likelihood = likelihood(request, timeLeft) ?: return request.mayRepeat && readyElsewhere == 0.0
+        return likelihood >= if (request.mayRepeat) requiredLikelihood(readyElsewhere) else 1.0
     }
+
+    /** The likelihood of a complete answer from which on an accepted request is worth as much as a refused one. */
+    private fun requiredLikelihood(readyElsewhere: Double): Double {
+        val refusedWorth = readyElsewhere * (1 - settings.retryLoss)
+        return maxOf((refusedWorth - settings.cutWorth) / (1 - settings.cutWorth), settings.minLikelihood)
+    }
+
+    /** Returns the share of recent answers that would fit into [timeLeft] with the margin; null if none is known. */
+    public fun likelihood(
+        request: LateRequest,
+        timeLeft: Duration,
+    ): Double? = request.shareWithin(timeLeft / settings.margin)
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -34,7 +34,7 @@
 /**
  * Exchanges [PeerHint]s with the other instances of the zone in datagrams.
  *
- * A lost one costs a refused attempt, and one that cannot be decoded is logged and ignored. Confined to the event loop.
+ * They are sent once and may be lost. One that cannot be decoded is logged and ignored. Confined to the event loop.
  */
 internal class PeerHintChannel(
     private val group: EventLoopGroup,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -107,6 +107,7 @@
                 .header(context.names.deadline)
                 ?.trim()
                 ?.toLongOrNull()
+                ?.coerceAtLeast(0)
                 ?.milliseconds
         val request =
             RelayRequest(
@@ -149,7 +150,7 @@
             "stopping_ms" to stoppingFor.inWholeMilliseconds,
             "left_ms" to timeLeft?.inWholeMilliseconds,
             "limit_ms" to late.limit.inWholeMilliseconds,
-            "share_in_time" to timeLeft?.let(late.shareWithin),
+            "likelihood" to timeLeft?.let { lateRequestPolicy.likelihood(late, it) },
             "ready_elsewhere" to readyElsewhere,
             "connection_ms" to request.exchange.connectionAge.inWholeMilliseconds,
             "connection_requests" to request.exchange.requestNumber,
