--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutAnswerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutAnswerTest.kt
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Guards against an answer whose endpoint stops at any byte of its head or body and which callers take for complete. */
+/** Guards against an answer that breaks off at any byte of its head or body and that callers take for complete. */
 class CutAnswerTest {
     /** One request whose attempts meet [script] in turn, whichever endpoint they reach. */
     private class Case(
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutRequestTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutRequestTest.kt
@@ -23,15 +23,17 @@
             RelayFixture().use { relay ->
                 relay.configure(RelayFixture.route(RouteKind.NON_IDEMPOTENT))
                 relay.register(endpoint.registration())
-                requests.forEach { request ->
-                    for (length in request.indices) End.entries.forEach { relay.sendCut(request.take(length), it) }
-                }
+                requests.forEach { relay.sendCuts(it) }
                 relay.call(headers = mapOf("Request-Name" to "n2"))
             }
             expectThat(endpoint.requests).single().get { this["Request-Name"] }.isEqualTo("n2")
         }
     }
 
+    private fun RelayFixture.sendCuts(request: String) {
+        for (length in request.indices) End.entries.forEach { sendCut(request.take(length), it) }
+    }
+
     private fun RelayFixture.sendCut(
         text: String,
         end: End,
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/ScriptedEndpoint.kt
@@ -71,7 +71,7 @@
 /** An endpoint that answers with raw bytes, so that a test can violate HTTP. */
 internal class ScriptedEndpoint(
     private val name: String,
-    /** Whether the body of a request is read before the script runs; otherwise most of a large one is never received. */
+    /** Whether bodies are read before the script runs; otherwise most of a large one is never received. */
     private val readsBody: Boolean,
     private val script: ScriptedConnection.(ReceivedRequest, number: Int) -> Unit,
 ) : AutoCloseable {
