--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/StoppingPeers.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/StoppingPeers.kt
@@ -8,8 +8,8 @@
 /**
  * Remembers which other instances of the availability zone have announced that they stop.
  *
- * A stopping instance repeats its announcement until its process ends. An announcement counts for [ttl], so that neither
- * a lost one nor the start of the next process looks like an instance that is ready.
+ * A stopping instance repeats its announcement until its process ends. An announcement counts for [ttl], so that
+ * neither a lost one nor the start of the next process looks like an instance that is ready.
  */
 public class StoppingPeers(
     private val ttl: Duration = 3.seconds,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AnswerDurations.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/AnswerDurations.kt
@@ -44,7 +44,7 @@
     }
 
     /**
-     * Returns the share of the recent answers that took at most [limit]; null if nothing of [service] is known about it.
+     * Returns the share of the recent answers that took at most [limit]; null if none of [service] is known.
      *
      * [inProgress] has the ages of the requests on [route] that have not ended. Like requests that ended without their
      * answers, they count only if they have taken longer than [limit].
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -224,8 +224,8 @@
     }
 
     /**
-     * Starts a graceful shutdown that was requested at [requestedAt]: the instance stops once every request in flight is
-     * answered, and at the latest when its grace period from then on ends. Further calls have no effect.
+     * Starts a graceful shutdown that was requested at [requestedAt]: the instance stops once every request in flight
+     * is answered, and at the latest when its grace period from then on ends. Further calls have no effect.
      */
     public fun shutDown(requestedAt: Timestamp = monotonicNow()) {
         if (shutdown.stoppingFor != null) return
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutDespiteReadyPeerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutDespiteReadyPeerTest.kt
@@ -37,7 +37,7 @@
     }
 
     @Test
-    fun `an answer of unknown duration is refused while another instance is ready, and begun when that one stops too`() {
+    fun `an answer of unknown duration is refused while another instance is ready and begun when it stops too`() {
         val relay = start()
         relay.shutDown()
         expectThat(relay.call().status).isEqualTo(503)
