Close the listener of a stopping instance once it refuses requests

A refused caller makes one more try, which often comes to another stopping instance, while one that finds no listener recovers nearly always.

Cause: took a refusal to be better than no listener.

Test: `ClosedListenerDuringShutdownTest`, "the listener closes once requests are refused". It uses an event that did not exist, so it was not run on the code before.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/lifecycle/InstanceShutdown.kt
@@ -27,6 +27,9 @@
         public val request: RequestId,
     ) : ShutdownEvent
 
+    /** A request was refused because it may not end before the instance does. */
+    public data object RequestRefused : ShutdownEvent
+
     /** Time has passed; must be delivered at least once a second after [Requested]. */
     public data object Tick : ShutdownEvent
 }
@@ -82,8 +85,9 @@
  * Graceful shutdown of an instance: it stops accepting connections and exits once all requests have finished, or
  * shortly before the platform kills it. [LateRequestPolicy] decides which requests are still accepted meanwhile.
  *
- * The listener stays open as long as requests in flight keep the process running. A load balancer with too few ready
- * instances goes on sending connections, and each caller is then answered, at worst with a refusal.
+ * The listener stays open as long as requests in flight keep the process running and none was refused. A load balancer
+ * with too few ready instances goes on sending connections. A caller that finds no listener tries another instance,
+ * while a refusal uses up one of the few retries that callers make after an answer.
  */
 public class InstanceShutdown(
     private val settings: ShutdownSettings = ShutdownSettings(),
@@ -96,6 +100,7 @@
     private var requestedAt = Timestamp.ZERO
     private var lastConnectionAt = Timestamp.ZERO
     private var lastActivityAt = Timestamp.ZERO
+    private var hasRefused = false
 
     /** Whether the instance reports to the load balancer that it accepts traffic. */
     public val isReady: Boolean get() = phase == Phase.RUNNING
@@ -121,6 +126,7 @@
             ShutdownEvent.ConnectionClosed -> onConnectionClosed()
             is ShutdownEvent.RequestStarted -> onRequestStarted(now, event.request)
             is ShutdownEvent.RequestFinished -> onRequestFinished(now, event.request)
+            ShutdownEvent.RequestRefused -> onRequestRefused()
             ShutdownEvent.Tick -> onTick(now)
         }
 
@@ -162,6 +168,11 @@
         return emptyList()
     }
 
+    private fun onRequestRefused(): List<ShutdownAction> {
+        hasRefused = true
+        return emptyList()
+    }
+
     private fun onTick(now: Timestamp): List<ShutdownAction> {
         val timeLeft = timeLeft(now)
         return when (phase) {
@@ -187,7 +198,7 @@
             phase == Phase.CLOSING -> listOf(closeIdle())
             now - requestedAt < settings.unreadyFor -> emptyList()
             hasTrafficMoved(now) && canExit(now) -> stopAccepting()
-            now - requestedAt >= settings.acceptAtMost -> stopAccepting()
+            hasRefused || now - requestedAt >= settings.acceptAtMost -> stopAccepting()
             else -> listOf(closeIdle())
         }
 
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/ClosedListenerDuringShutdownTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/lifecycle/ClosedListenerDuringShutdownTest.kt
@@ -5,6 +5,8 @@
 import oriolespindle.core.time.Timestamp
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 import java.util.SplittableRandom
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -71,6 +73,21 @@
         expectThat(counts.notEnded).isEqualTo(0)
     }
 
+    // Callers whose requests were refused by one stopping instance after another used up their retries.
+    @Test
+    fun `the listener closes once requests are refused, although a request is in flight`() {
+        val shutdown = InstanceShutdown(settings)
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.ConnectionOpened)
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.RequestStarted(RequestId("stream")))
+        shutdown.handle(Timestamp.ZERO, ShutdownEvent.Requested)
+        val tickWhileOpen = shutdown.handle(Timestamp.ZERO + 3.seconds, ShutdownEvent.Tick)
+        shutdown.handle(Timestamp.ZERO + 3.seconds, ShutdownEvent.RequestRefused)
+        val tickAfterRefusal = shutdown.handle(Timestamp.ZERO + 3_100.milliseconds, ShutdownEvent.Tick)
+
+        expectThat(tickWhileOpen.contains(ShutdownAction.StopAccepting)).isFalse()
+        expectThat(tickAfterRefusal.contains(ShutdownAction.StopAccepting)).isTrue()
+    }
+
     private companion object {
         const val STEP_MILLIS = 100
         const val LAST_STEP = 79
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/lifecycle/ShutdownCoordinator.kt
@@ -57,6 +57,9 @@
     /** Removes work registered by [onWorkStarted]. */
     fun onWorkFinished(id: RequestId) = handle(ShutdownEvent.RequestFinished(id))
 
+    /** Called when a request was refused because it may not end before the instance does. */
+    fun onRequestRefused() = handle(ShutdownEvent.RequestRefused)
+
     private fun handle(event: ShutdownEvent) {
         val actions = synchronized(this) { stateMachine.handle(monotonicNow(), event) }
         actions.forEach(perform)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -108,6 +108,7 @@
         context.budgets.onRequest(monotonicNow(), service.id)
         if (shutdown.stoppingFor?.let { acceptsLate(request, it) } == false) {
             context.metrics.onRefused(RelayAnswers.STOPPING)
+            shutdown.onRequestRefused()
             exchange.respond(RelayAnswers.refusal(RelayAnswers.STOPPING, RETRY_ELSEWHERE_AFTER))
             return
         }
