End the process also on an error in a component's thread

What callers saw: an Error in the request component (a stack overflow in a parser, an exhausted heap) ended its thread alone. The process went on: it took requests until the ring buffer was full and answered none of them.

Cause: Component.handleOrHalt caught Exception only.

Evidence: ComponentTest, "guards against a process that goes on after an error has ended the thread of a component", before: TimeoutException, since nothing ended the process on a StackOverflowError. It passes with the change.

Why it works: any Throwable ends the process, also when the line about it cannot be written.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/RequestComponent.kt
@@ -45,7 +45,7 @@
     createContext: (offer: (RequestMessage) -> Boolean) -> RequestContext,
     createRoutes: (RequestContext, onPlanned: () -> Unit) -> ModelRoutes,
 ) {
-    private val component = Component("requests", RING_CAPACITY, ::handle)
+    private val component = Component("requests", RING_CAPACITY, handle = ::handle)
     private val context = createContext(component::offer)
     private val routes = createRoutes(context, ::onPlanned)
     private val endpoints = EndpointStates(context.directory)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/Component.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/runtime/Component.kt
@@ -14,6 +14,7 @@
 internal class Component<M : Any>(
     private val name: String,
     capacity: Int,
+    private val halt: (Int) -> Unit = Runtime.getRuntime()::halt,
     private val handle: (M) -> Unit,
 ) {
     private val ring = MpscArrayQueue<M>(capacity)
@@ -68,10 +69,14 @@
     private fun handleOrHalt(message: M) {
         try {
             handle(message)
-        } catch (e: Exception) {
-            // A broken invariant leaves the component's state undefined, so the process must not continue.
-            Logger.error(e, "component {} failed on {}", name, message.javaClass.simpleName)
-            Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT)
+        } catch (e: Throwable) {
+            // A broken invariant leaves the component's state undefined, so the process must not continue; an Error
+            // would end the thread alone, and the process would go on without the component.
+            try {
+                Logger.error(e, "component {} failed on {}", name, message.javaClass.simpleName)
+            } finally {
+                halt(EXIT_BROKEN_INVARIANT)
+            }
         }
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/state/StateComponent.kt
@@ -66,7 +66,7 @@
     private val peers: PeerSender,
     private val listeners: StateListeners,
 ) {
-    private val component = Component("state", RING_CAPACITY, ::handle)
+    private val component = Component("state", RING_CAPACITY, handle = ::handle)
     private val sync = ConfigurationSync(InstanceId(self.id), ZoneId(self.zone), random = random)
     private val cache = sync.cache
     private val writer = ObjectWriter(platform, timers) { block -> post(StateMessage.Run(block)) }
