Send the rejection of a malformed request in its turn

What callers saw: a malformed or too large request behind another one on the same connection was answered at once. The caller took the 400 for the answer to its first request, which an endpoint was still running, and the connection was closed before the answer to that request.

Change: a rejected request waits for the answers before it, as every other request does, and closes the connection with its own answer.

A request that cannot be ended in order before the process is killed is answered like one that fails at any other step.

Evidence: KeptConnectionTest, "the rejection of a malformed request came as the answer to the one before it", seen failing before ("400 ..." instead of "200 /held"), passing now.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
@@ -1,7 +1,6 @@
 package oriolespindle.router.http
 
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -17,11 +16,19 @@
 import io.netty.util.ReferenceCountUtil
 import java.io.ByteArrayOutputStream
 
+/** A request of a connection, in the order of arrival. */
+internal sealed interface ReceivedRequest
+
 /** A request with its complete body. */
 internal class AssembledRequest(
     val head: HttpRequest,
     val body: ByteArray,
-)
+) : ReceivedRequest
+
+/** A request that is answered with [answer] in its turn, after which the connection is closed. */
+internal class RejectedRequest(
+    val answer: HttpAnswer,
+) : ReceivedRequest
 
 /**
  * Aggregates each request with its body, which may have as many bytes as [maxBodyBytes] returns.
@@ -113,13 +120,9 @@
         rejected = true
         body.reset()
         val text = """{"error":{"outcome":"not_run","reason":"$reason","message":"$message"}}"""
-        val response =
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text, Charsets.UTF_8))
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        response.headers().set("Oriolespindle-Outcome", "not_run")
-        response.headers().set(HttpHeaderNames.CONNECTION, "close")
-        HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
-        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        val headers = listOf("Oriolespindle-Outcome" to "not_run")
+        // The answers to earlier requests come first; a caller would take this one for theirs.
+        ctx.fireChannelRead(RejectedRequest(HttpAnswer.json(status.code(), text, headers)))
     }
 
     private fun continueResponse(): FullHttpResponse =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -29,6 +30,15 @@
     val contentType: String = "application/json",
     val headers: List<Pair<String, String>> = emptyList(),
 ) {
+    internal fun toResponse(): FullHttpResponse {
+        val status = HttpResponseStatus.valueOf(status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
+        HttpUtil.setContentLength(response, body.size.toLong())
+        if (body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        headers.forEach { (name, value) -> response.headers().add(name, value) }
+        return response
+    }
+
     companion object {
         fun json(
             status: Int,
@@ -104,15 +114,7 @@
 
     /** Sends a complete response; later calls are ignored, and one after a response has begun aborts it. */
     fun respond(answer: HttpAnswer) {
-        val response =
-            DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(answer.status),
-                Unpooled.wrappedBuffer(answer.body),
-            )
-        HttpUtil.setContentLength(response, answer.body.size.toLong())
-        if (answer.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
-        answer.headers.forEach { (name, value) -> response.headers().add(name, value) }
+        val response = answer.toResponse()
         if (endUnanswered(answer.status)) finish(response)
     }
 
@@ -229,13 +231,13 @@
     private val handler: (ServerExchange) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var current: ServerExchange? = null
-    private val waiting = ArrayDeque<AssembledRequest>()
+    private val waiting = ArrayDeque<ReceivedRequest>()
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        val request = message as AssembledRequest
+        val request = message as ReceivedRequest
         timeouts(ctx).onRequestComplete()
         if (current == null) {
             begin(ctx, request)
@@ -247,11 +249,30 @@
     }
 
     private fun begin(
+        ctx: ChannelHandlerContext,
+        request: ReceivedRequest,
+    ) {
+        timeouts(ctx).onRequestReceived()
+        when (request) {
+            is AssembledRequest -> handle(ctx, request)
+            is RejectedRequest -> reject(ctx, request.answer)
+        }
+    }
+
+    private fun reject(
+        ctx: ChannelHandlerContext,
+        answer: HttpAnswer,
+    ) {
+        val response = answer.toResponse()
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun handle(
         ctx: ChannelHandlerContext,
         request: AssembledRequest,
     ) {
         val connection = timeouts(ctx)
-        connection.onRequestReceived()
         val closesAfter = { isClosing() && waiting.isEmpty() }
         val exchange = ServerExchange(ctx, request, connection, closesAfter) { onExchangeEnded(ctx) }
         current = exchange
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -382,9 +382,10 @@
     private fun onExpired() = endWithoutAnswer("timeout", GATEWAY_TIMEOUT, retryAfter = null)
 
     /** Ends the request, since the process is about to be killed. */
-    fun onInstanceStops() {
-        if (!ended) endWithoutAnswer(RelayAnswers.STOPPING, BAD_GATEWAY, retryAfter = Duration.ZERO)
-    }
+    fun onInstanceStops() =
+        guarded {
+            if (!ended) endWithoutAnswer(RelayAnswers.STOPPING, BAD_GATEWAY, retryAfter = Duration.ZERO)
+        }
 
     private fun endWithoutAnswer(
         reason: String,
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/KeptConnectionTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/KeptConnectionTest.kt
@@ -126,6 +126,19 @@
             .isEqualTo(listOf("200 /held") + List(WAITING) { "200 /$it" })
     }
 
+    /** A caller takes the first answer for that of its first request, which was still running. */
+    @Test
+    fun `the rejection of a malformed request came as the answer to the one before it`() {
+        send("/held")
+        val first = nextHeld()
+        write("GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n")
+        awaitLoop()
+        first.respond(HttpAnswer.json(200, "/held"))
+
+        expectThat(nextAnswer()).isEqualTo("200 /held")
+        expectThat(nextAnswer().substringBefore(' ')).isEqualTo("400")
+    }
+
     /** A connection with a part of a request is not idle. */
     @Test
     fun `a request that began to arrive during an answer was closed as idle`() {
