Log that an endpoint has ended, and what it had not begun to answer

The line 'endpoint ended' has the number of lost and of unanswered requests and the traits that most of these share: a part of the prompt or the whole content. The counter oriolespindle_relay_endpoints_ended counts such ends. No request is handled in another way. A proxy in front of a server that has ended may accept a connection and reset it, so the probe looks whether it stays open for 10 ms.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/RequestTrait.kt
@@ -0,0 +1,26 @@
+package oriolespindle.core.crash
+
+import kotlinx.serialization.Serializable
+import oriolespindle.core.id.ServiceId
+
+/** Something that several requests may have in common: a part of their prompts, or their whole content. */
+@Serializable
+@JvmInline
+public value class RequestTrait(
+    public val value: String,
+) : Comparable<RequestTrait> {
+    override fun compareTo(other: RequestTrait): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+
+    public companion object {
+        /** Returns the trait of requests to [service] whose prompts contain the part [id]. */
+        public fun ofPart(
+            service: ServiceId,
+            id: String,
+        ): RequestTrait = RequestTrait("part/$service/$id")
+
+        /** Returns the trait of requests with the content that has [fingerprint]. */
+        public fun ofContent(fingerprint: Fingerprint): RequestTrait = RequestTrait("content/$fingerprint")
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -128,6 +128,27 @@
         pool.closeAll(address)
     }
 
+    /**
+     * Opens a connection to [address] and closes it; [result] is whether it stayed open for a moment.
+     *
+     * A proxy in front of a server that has ended may accept a connection and close it at once.
+     */
+    public fun probe(
+        address: Address,
+        result: (Boolean) -> Unit,
+    ) {
+        connect(address).addListener(
+            ChannelFutureListener { future ->
+                if (future.isSuccess) {
+                    val check = { result(future.channel().isActive).also { future.channel().close() } }
+                    future.channel().eventLoop().schedule(check, PROBE_MILLIS, TimeUnit.MILLISECONDS)
+                } else {
+                    result(false)
+                }
+            },
+        )
+    }
+
     private fun connect(address: Address): ChannelFuture =
         Bootstrap()
             .group(group)
@@ -212,6 +233,7 @@
     }
 
     private companion object {
+        const val PROBE_MILLIS = 10L
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "OPTIONS", "DELETE")
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -68,6 +68,7 @@
 
     private fun onFailure(event: ClientEvent.Failed) {
         val failedId = endpoint?.id
+        endpoint?.let { reportLoss(event, it, isAnswered = false) }
         if (failedId != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failedId)
         onAttemptFailed(endOf(event), event.kind.name.lowercase(), failedId)
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -45,6 +45,7 @@
     val refusalSharing = RefusalSharing()
     val durations = AnswerDurations()
     val stoppingPeers = StoppingPeers()
+    val losses = EndpointLosses(timers, http::probe) { metrics.onEndpointEnded() }
 
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -119,6 +119,7 @@
                 dropKey = configuration.requiresKeys,
                 arrivedAt = arrivedAt,
                 expiry = arrivedAt + minOf(callerTimeout ?: route.timeout, route.timeout),
+                traits = RequestTraits(exchange, service.id, team, exchange.header(context.names.promptParts)),
             )
         context.budgets.onRequest(monotonicNow(), service.id)
         if (shutdown.stoppingFor?.let { acceptsLate(request, it) } == false) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
@@ -22,6 +22,8 @@
     public val path: String,
     /** The number of prompt tokens and the maximum number of answer tokens, separated by a comma. */
     public val tokens: String,
+    /** The parts of the prompt in order, each as an id, a colon and a number of tokens, separated by commas. */
+    public val promptParts: String,
     /** Further headers that only this system may set; dropped from requests of callers. */
     public val reserved: Set<String> = emptySet(),
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
@@ -50,6 +50,9 @@
         timer.record(interval.toJavaDuration())
     }
 
+    /** Counts an endpoint that was found to have ended while requests were at it. */
+    public fun onEndpointEnded(): Unit = registry.counter("oriolespindle.relay.endpoints.ended").increment()
+
     /** Counts an order to load layers that ended with [result]. */
     public fun onOrderEnded(result: String): Unit = count("oriolespindle.relay.orders", "result", result)
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayRequest.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayRequest.kt
@@ -18,4 +18,5 @@
     val arrivedAt: Timestamp,
     /** The caller's deadline or the end of the route's timeout, whichever is earlier. */
     val expiry: Timestamp,
+    val traits: RequestTraits,
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -205,6 +205,16 @@
         dropped?.cancel()
     }
 
+    /** Reports the loss of a connection; [isAnswered] is whether [endpoint] had begun to answer. */
+    protected fun reportLoss(
+        event: ClientEvent.Failed,
+        endpoint: RelayEndpoint,
+        isAnswered: Boolean,
+    ) {
+        if (event.kind != FailureKind.CONNECTION_LOST || !event.sent) return
+        context.losses.onConnectionLost(endpoint, request.traits.all.takeUnless { isAnswered }) {}
+    }
+
     /** Decides what follows an attempt without a usable answer; [reason] appears in logs and metrics. */
     protected fun onAttemptFailed(
         end: AttemptEnd,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -320,6 +320,7 @@
     }
 
     private fun onFailure(event: ClientEvent.Failed) {
+        first?.let { reportLoss(event, it, isAnswered = hasJoined) }
         val first = first?.id
         if (first != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), first)
         onAttemptFailed(endOf(event), event.kind.name.lowercase(), first)
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -188,6 +188,7 @@
                 faultyEndpoint = "Faulty",
                 path = "Path",
                 tokens = "Tokens",
+                promptParts = "Parts",
                 reserved = setOf("Reserved"),
             )
 
