Reject requests with what others had in common under which endpoints ended

Cause: the relay remembered nothing about what an endpoint had not begun to answer when it ended, so each further request was a new one to it, was sent, and was sent again to a second endpoint. CrashGuard, which the product's own interface has, is not wired there and would not match: its fingerprint covers the whole content, and these requests share one part of their prompts only.

HarmfulRequestGuard attributes ends of endpoints to traits of the requests that had not been begun to be answered: the parts of the prompt without the last one, and the whole content. A trait that was there at three ends, not simultaneous and with no answer to a request with it in between, is rejected together with the traits that were in all its requests. So a sound part that harmful requests share is not rejected; a part whose requests were answered before needs five ends that nothing else explains. Each instance decides by the reports of all: datagrams to every zone, and an object in the store once a trait is suspect twice, for zones that are cut off and instances that start later. Callers get 503 quarantined, or 502 if it was sent, and Retry-After with the rest of the 30 minutes. Operators lift a rejection by deleting the object.

--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -0,0 +1,238 @@
+package oriolespindle.core.crash
+
+import oriolespindle.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Finds out what requests under which endpoints end have in common, and tells which requests to reject.
+ *
+ * The load that it answers: requests that are all different share one part of their prompts, come at any instance, and
+ * each one ends the endpoint that begins to answer it; requests that share everything else with them are sound. A
+ * request that is repeated is the same case, with its whole content as the trait.
+ *
+ * A trait is suspected at each end of an endpoint that had not begun to answer a request with it. The suspicion ends
+ * when any endpoint begins to answer such a request, since a harmful one is never answered. A trait that is suspected
+ * at [HarmfulRequestSettings.maxCrashes] ends that were not simultaneous is rejected, together with the traits that
+ * were in all its requests; so what sound requests share with harmful ones is not rejected by itself. A trait of which
+ * requests were answered before is rejected only after more ends that no other rejection explains.
+ *
+ * Each instance decides alone, by the reports of all. Confined to one thread.
+ */
+public class HarmfulRequestGuard(
+    private val settings: HarmfulRequestSettings = HarmfulRequestSettings(),
+) {
+    private class Crash(
+        val process: EndpointProcess,
+        val at: Timestamp,
+    ) {
+        val requests = LinkedHashSet<Set<RequestTrait>>()
+
+        fun isExplainedBy(rejections: Collection<Set<RequestTrait>>): Boolean =
+            rejections.any { rejected -> requests.any { it.containsAll(rejected) } }
+    }
+
+    /** A trait that may be harmful, with the ends at which it is suspected. */
+    private class Candidate(
+        val crashes: List<Crash>,
+        val count: Int,
+        /** The traits that were in all its requests. */
+        val common: Set<RequestTrait>,
+    )
+
+    private val crashes = LinkedHashMap<EndpointProcess, Crash>()
+
+    /** The [crashes] by the traits of their requests. */
+    private val crashesByTrait = HashMap<RequestTrait, LinkedHashSet<Crash>>()
+
+    /** When requests with a trait were last begun to be answered; null if only another instance has seen so. */
+    private val answeredAt =
+        object : LinkedHashMap<RequestTrait, Timestamp?>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<RequestTrait, Timestamp?>): Boolean =
+                size > settings.maxKnownTraits
+        }
+
+    /** The sets of traits such that a request with all traits of one is rejected. */
+    public var rejections: Set<Set<RequestTrait>> = emptySet()
+        private set
+
+    /** Whether no end of an endpoint is remembered. */
+    public val isIdle: Boolean get() = crashes.isEmpty()
+
+    /** Returns the traits because of which a request with [traits] is rejected, or null if it is not. */
+    public fun rejection(traits: Set<RequestTrait>): Set<RequestTrait>? = rejections.firstOrNull(traits::containsAll)
+
+    /** Returns how long requests with all traits of [rejection] are rejected from [now] on, unless more ends follow. */
+    public fun rejectedFor(
+        now: Timestamp,
+        rejection: Set<RequestTrait>,
+    ): Duration {
+        val times = crashes.values.filter { it.isExplainedBy(setOf(rejection)) }.map { it.at }
+        val last = times.maxOrNull() ?: return Duration.ZERO
+        return (last + settings.retention - now).coerceAtLeast(Duration.ZERO)
+    }
+
+    /** Returns the ends of endpoints that [rejection] explains. */
+    public fun evidence(rejection: Set<RequestTrait>): List<EndpointProcess> =
+        crashes.values.filter { it.isExplainedBy(setOf(rejection)) }.map { it.process }
+
+    /** Records that an endpoint begins to answer a request with [traits]; returns those that were suspected. */
+    public fun onAnswered(
+        now: Timestamp,
+        traits: Set<RequestTrait>,
+    ): Set<RequestTrait> {
+        val suspected = if (isIdle) emptySet() else traits.filterTo(LinkedHashSet()) { suspectedAt(it).isNotEmpty() }
+        traits.forEach { answeredAt[it] = now }
+        if (suspected.isNotEmpty()) judge()
+        return suspected
+    }
+
+    /** Records the end of [process], which had not begun to answer the requests with the traits in [unanswered]. */
+    public fun onCrash(
+        now: Timestamp,
+        process: EndpointProcess,
+        unanswered: List<Set<RequestTrait>>,
+    ) {
+        record(now, CrashReport(process, unanswered))
+        judge()
+    }
+
+    /** Merges the [news] of another instance; returns the suspected traits of which only this one knows answers. */
+    public fun merge(
+        now: Timestamp,
+        news: CrashNews,
+    ): Set<RequestTrait> {
+        val reported = news.crashes.flatMapTo(LinkedHashSet()) { it.unanswered.flatten() }
+        val knownHere = reported.filterTo(LinkedHashSet()) { it !in news.known && it in answeredAt }
+        news.known.forEach { if (it !in answeredAt) answeredAt[it] = null }
+        news.crashes.forEach { record(now, it) }
+        news.answered.forEach { answeredAt[it] = now }
+        judge()
+        return knownHere
+    }
+
+    /** Forgets the ends of [processes] and thereby lifts the rejections that rest on them. */
+    public fun forget(processes: Collection<EndpointProcess>) {
+        if (crashes.keys.removeAll(processes.toSet())) onCrashesRemoved()
+        judge()
+    }
+
+    /** Drops what is older than [HarmfulRequestSettings.retention]. */
+    public fun expire(now: Timestamp) {
+        if (!crashes.values.removeIf { now - it.at > settings.retention }) return
+        onCrashesRemoved()
+        judge()
+    }
+
+    /** Returns the known ones of [traits]. */
+    public fun known(traits: Collection<RequestTrait>): Set<RequestTrait> =
+        traits.filterTo(LinkedHashSet()) { it in answeredAt }
+
+    /**
+     * Returns what must not be lost with this process: the ends of endpoints at which some trait was suspected for at
+     * least the second time.
+     */
+    public fun lastingNews(now: Timestamp): CrashNews {
+        val repeated = crashesByTrait.keys.filterTo(HashSet(), ::isRepeated)
+        val reports =
+            crashes.values.mapNotNull { crash ->
+                val requests = crash.requests.filter { request -> request.any { it in repeated } }
+                val age = (now - crash.at).inWholeMilliseconds
+                CrashReport(crash.process, requests, age).takeIf { requests.isNotEmpty() }
+            }
+        return CrashNews(reports, known(reports.flatMap { it.unanswered.flatten() }))
+    }
+
+    private fun isRepeated(trait: RequestTrait): Boolean =
+        trait !in answeredAt && countMoments(suspectedAt(trait)) >= MIN_REPEATED
+
+    private fun record(
+        now: Timestamp,
+        report: CrashReport,
+    ) {
+        val at = now - report.ageMillis.coerceAtLeast(0).milliseconds
+        if (now - at > settings.retention) return
+        val crash = crashes.getOrPut(report.process) { Crash(report.process, at) }
+        val room = settings.maxRequestsPerCrash - crash.requests.size
+        for (request in report.unanswered.filter { it !in crash.requests }.take(maxOf(room, 0))) {
+            crash.requests += request
+            request.forEach { crashesByTrait.getOrPut(it) { LinkedHashSet() } += crash }
+        }
+        if (crashes.size > settings.maxRecordedCrashes) dropOldestUnexplained()
+    }
+
+    private fun dropOldestUnexplained() {
+        val dropped = crashes.values.firstOrNull { !it.isExplainedBy(rejections) } ?: return
+        crashes.remove(dropped.process)
+        onCrashesRemoved()
+    }
+
+    private fun onCrashesRemoved() {
+        crashesByTrait.values.removeIf { known ->
+            known.removeIf { crashes[it.process] !== it }
+            known.isEmpty()
+        }
+    }
+
+    /** Returns the ends at which [trait] is suspected: those since a request with it was last answered. */
+    private fun suspectedAt(trait: RequestTrait): List<Crash> {
+        val since = answeredAt[trait]
+        return crashesByTrait[trait].orEmpty().filter { since == null || it.at > since }
+    }
+
+    private fun judge() {
+        val repeated = crashesByTrait.filterValues { it.size >= settings.maxCrashes }.keys
+        val unknown =
+            repeated
+                .filter { it !in answeredAt }
+                .map { candidate(it, suspectedAt(it)) }
+                .filter { it.count >= settings.maxCrashes }
+        val specific = unknown.filterNot { candidate -> unknown.any { explainsAsWell(it, candidate) } }
+        val found = specific.mapTo(LinkedHashSet()) { it.common }
+        val known =
+            repeated
+                .filter { it in answeredAt }
+                .filter { trait ->
+                    val unexplained = suspectedAt(trait).filterNot { it.isExplainedBy(found) }
+                    countMoments(unexplained) >= settings.maxCrashesOfKnown
+                }
+        found += known.map(::setOf)
+        rejections = found.filterNotTo(LinkedHashSet()) { set -> found.any { it != set && set.containsAll(it) } }
+    }
+
+    private fun candidate(
+        trait: RequestTrait,
+        crashes: List<Crash>,
+    ): Candidate {
+        val requests = crashes.flatMap { crash -> crash.requests.filter { trait in it } }
+        val common = requests.reduceOrNull { common, request -> common.intersect(request) }.orEmpty()
+        return Candidate(crashes, countMoments(crashes), common.filterTo(LinkedHashSet()) { it !in answeredAt })
+    }
+
+    /** Whether [other] explains the same ends as [candidate] and would have fewer requests rejected. */
+    private fun explainsAsWell(
+        other: Candidate,
+        candidate: Candidate,
+    ): Boolean =
+        other.common.size > candidate.common.size && other.common.containsAll(candidate.common) &&
+            other.crashes.containsAll(candidate.crashes)
+
+    /** Returns the number of [crashes], of which those that were simultaneous count as one. */
+    private fun countMoments(crashes: List<Crash>): Int {
+        var count = 0
+        var moment: Timestamp? = null
+        for (at in crashes.map { it.at }.sorted()) {
+            val start = moment
+            if (start != null && at - start < settings.simultaneousWindow) continue
+            moment = at
+            count++
+        }
+        return count
+    }
+
+    private companion object {
+        const val MIN_REPEATED = 2
+        const val INITIAL_CAPACITY = 64
+        const val LOAD_FACTOR = 0.75f
+    }
+}
--- /dev/null
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
@@ -0,0 +1,28 @@
+package oriolespindle.core.crash
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+
+/** The settings of [HarmfulRequestGuard]. */
+public data class HarmfulRequestSettings(
+    /** The ends of endpoints after which a trait of which no request was ever answered is rejected. */
+    public val maxCrashes: Int = 3,
+    /**
+     * The same for a trait of which requests were answered before.
+     *
+     * A popular part of prompts is at every endpoint that ends for another reason, and rejecting it would hit many
+     * callers, so more evidence is needed.
+     */
+    public val maxCrashesOfKnown: Int = 5,
+    /** Ends within this time of each other count as one: a rack, a switch or a zone may have failed. */
+    public val simultaneousWindow: Duration = 50.milliseconds,
+    /** How long an end of an endpoint counts, and thereby how long requests are rejected after the last one. */
+    public val retention: Duration = 30.minutes,
+    /** The most ends of endpoints that are remembered; those that a rejection rests on are never dropped. */
+    public val maxRecordedCrashes: Int = 256,
+    /** The most unanswered requests that are remembered for one end of an endpoint. */
+    public val maxRequestsPerCrash: Int = 256,
+    /** The most traits of which it is remembered that requests were answered. */
+    public val maxKnownTraits: Int = 16_384,
+)
--- /dev/null
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
@@ -0,0 +1,221 @@
+package oriolespindle.core.crash
+
+import oriolespindle.core.VirtualTime
+import oriolespindle.core.id.EndpointId
+import oriolespindle.core.time.Timestamp
+import java.util.SplittableRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The size and the faults of a simulated fleet. */
+internal data class HarmfulPartScenario(
+    val name: String,
+    val instances: Int = 9,
+    val endpoints: Int = 12,
+    val requestsPerSecond: Int = 90,
+    val lossShare: Double = 0.025,
+    val isZoneCut: Boolean = false,
+    val isStoreDown: Boolean = false,
+    /** The mean time between ends of endpoints that no request causes. */
+    val otherCrashInterval: Duration = 8.seconds,
+    /** How long the sound requests come before the harmful ones. */
+    val warmUp: Duration = 10.seconds,
+)
+
+/** Sums over seeded runs; [maxLateArrivals] is the largest number of late arrivals of harmful requests in one run. */
+internal class HarmfulPartCounts {
+    var sound = 0
+    var soundRejected = 0
+    var maxLateArrivals = 0
+    var maxCrashes = 0
+
+    override fun toString() =
+        "$sound sound requests, $soundRejected rejected; at most $maxCrashes endpoints ended under harmful " +
+            "requests and $maxLateArrivals reached endpoints late"
+}
+
+/**
+ * Simulates a fleet with sound requests, a third of them with a part and the caller of the harmful ones, and three
+ * harmful requests a second that each end the endpoint that runs them. Both are sent again once.
+ */
+internal class HarmfulPartSimulation(
+    seed: Long,
+    private val scenario: HarmfulPartScenario,
+    private val counts: HarmfulPartCounts,
+) {
+    private class Run(
+        val instance: Int,
+        val traits: Set<RequestTrait>,
+        val isHarmful: Boolean,
+        val attempt: Int = 1,
+    )
+
+    private val random = SplittableRandom(seed)
+    private val time = VirtualTime()
+    private val guards = List(scenario.instances) { HarmfulRequestGuard() }
+    private val starts = HashMap<Int, Long>()
+    private val running = HashMap<Int, MutableList<Run>>()
+    private val downUntil = HashMap<Int, Timestamp>()
+    private val stored = LinkedHashMap<Int, Pair<Timestamp, CrashNews>>()
+    private val crashesByHarmful = ArrayList<Timestamp>()
+    private val harmfulArrivals = ArrayList<Timestamp>()
+
+    fun run() {
+        val soundCount = ((scenario.warmUp + DURATION).inWholeMilliseconds * scenario.requestsPerSecond / 1_000).toInt()
+        repeat(soundCount) { n -> at(randomUntil(scenario.warmUp + DURATION)) { onArrival(sound(n)) } }
+        counts.sound += soundCount
+        repeat(HARMFUL_REQUESTS) { n ->
+            at(scenario.warmUp + randomUntil(DURATION)) { onArrival(harmful(n)) }
+        }
+        val others = ((scenario.warmUp + DURATION) / scenario.otherCrashInterval).toInt()
+        repeat(others) { at(randomUntil(scenario.warmUp + DURATION)) { crash(random.nextInt(scenario.endpoints)) } }
+        time.runAll()
+        counts.maxCrashes = maxOf(counts.maxCrashes, crashesByHarmful.size)
+        val fifth = crashesByHarmful.getOrNull(FIFTH) ?: return
+        counts.maxLateArrivals = maxOf(counts.maxLateArrivals, harmfulArrivals.count { it > fifth + STABLE_WINDOW })
+    }
+
+    private fun sound(number: Int): Run {
+        // Squaring makes some of the parts popular.
+        val part =
+            if (random.nextInt(3) ==
+                0
+            ) {
+                SHARED
+            } else {
+                "part${(random.nextDouble().let { it * it } * PARTS).toInt()}"
+            }
+        return Run(random.nextInt(guards.size), traits(part, "content$number"), isHarmful = false)
+    }
+
+    private fun harmful(number: Int) =
+        Run(random.nextInt(guards.size), traits(SHARED, "bad", "contentBad$number"), isHarmful = true)
+
+    private fun traits(vararg names: String) = names.mapTo(LinkedHashSet()) { RequestTrait(it) }
+
+    private fun onArrival(run: Run) {
+        if (guards[run.instance].rejection(run.traits) != null) {
+            if (!run.isHarmful) counts.soundRejected++
+            return
+        }
+        val up = (0 until scenario.endpoints).filter { time.now >= (downUntil[it] ?: time.now) }
+        val inReach = up.filter { zoneOf(it) == zoneOf(run.instance) }
+        val endpoint = inReach.randomOrNull() ?: return
+        if (run.isHarmful) harmfulArrivals += time.now
+        val waiting = running.getOrPut(endpoint) { ArrayList() }
+        waiting += run
+        val start = starts[endpoint]
+        time.after((BEGIN_MILLIS + random.nextInt(BEGIN_MILLIS)).milliseconds) {
+            if (starts[endpoint] != start || run !in waiting) return@after
+            if (run.isHarmful) {
+                crashesByHarmful += time.now
+                crash(endpoint)
+            } else {
+                waiting -= run
+                val suspected = guards[run.instance].onAnswered(time.now, run.traits)
+                if (suspected.isNotEmpty()) send(run.instance, CrashNews(answered = suspected))
+            }
+        }
+    }
+
+    private fun <T> List<T>.randomOrNull(): T? = if (isEmpty()) null else get(random.nextInt(size))
+
+    private fun crash(endpoint: Int) {
+        if (time.now < (downUntil[endpoint] ?: Timestamp.ZERO)) return
+        val process = EndpointProcess(EndpointId("e$endpoint"), starts[endpoint] ?: 0)
+        starts[endpoint] = process.startedAt + 1
+        downUntil[endpoint] = time.now + DOWN_TIME
+        val lost = running.remove(endpoint).orEmpty()
+        for ((instance, runs) in lost.groupBy { it.instance }) {
+            time.after(DETECTION_TIME) { observe(instance, process, runs) }
+        }
+    }
+
+    private fun observe(
+        instance: Int,
+        process: EndpointProcess,
+        runs: List<Run>,
+    ) {
+        val requests = runs.map { it.traits }
+        guards[instance].onCrash(time.now, process, requests)
+        val observedAt = time.now
+        for (delay in listOf(Duration.ZERO, 250.milliseconds, 1.seconds)) {
+            time.after(delay) {
+                val report = CrashReport(process, requests, (time.now - observedAt).inWholeMilliseconds)
+                send(instance, CrashNews(listOf(report), guards[instance].known(requests.flatten())))
+            }
+        }
+        keep(instance)
+        runs.filter { it.attempt < MAX_ATTEMPTS }.forEach {
+            onArrival(Run(it.instance, it.traits, it.isHarmful, it.attempt + 1))
+        }
+    }
+
+    private fun send(
+        from: Int,
+        news: CrashNews,
+    ) {
+        for (to in guards.indices) {
+            if (to == from || random.nextDouble() < scenario.lossShare || isCut(from, to)) continue
+            time.after((1 + random.nextInt(MAX_TRANSIT_MILLIS)).milliseconds) { deliver(to, news) }
+        }
+    }
+
+    private fun deliver(
+        to: Int,
+        news: CrashNews,
+    ) {
+        val known = guards[to].merge(time.now, news)
+        if (known.isNotEmpty()) send(to, CrashNews(known = known))
+        if (news.crashes.isNotEmpty()) keep(to)
+    }
+
+    /** Writes what must last to the store, which all instances read a while later. */
+    private fun keep(instance: Int) {
+        if (scenario.isStoreDown) return
+        val news = guards[instance].lastingNews(time.now)
+        if (news.crashes.isEmpty() || stored[instance]?.second?.crashes?.size == news.crashes.size) return
+        stored[instance] = time.now to news
+        time.after(STORE_DELAY) {
+            guards.indices.filter { it != instance }.forEach { reader ->
+                val age = STORE_DELAY.inWholeMilliseconds
+                val aged = news.crashes.map { it.copy(ageMillis = it.ageMillis + age) }
+                guards[reader].merge(time.now, news.copy(crashes = aged))
+                keep(reader)
+            }
+        }
+    }
+
+    private fun isCut(
+        from: Int,
+        to: Int,
+    ) = scenario.isZoneCut && (zoneOf(from) == 0) != (zoneOf(to) == 0)
+
+    private fun zoneOf(index: Int): Int = index % ZONES
+
+    private fun at(
+        delay: Duration,
+        run: () -> Unit,
+    ) = time.at(Timestamp.ZERO + delay, run)
+
+    private fun randomUntil(limit: Duration): Duration = random.nextInt(limit.inWholeMilliseconds.toInt()).milliseconds
+
+    private companion object {
+        const val SHARED = "shared"
+        const val ZONES = 3
+        const val PARTS = 60
+        const val HARMFUL_REQUESTS = 90
+        const val MAX_ATTEMPTS = 2
+        const val FIFTH = 4
+
+        /** The least time from the arrival of a request to the beginning of its answer, and half of the longest. */
+        const val BEGIN_MILLIS = 60
+        const val MAX_TRANSIT_MILLIS = 4
+        val DURATION = 30.seconds
+        val DOWN_TIME = 3.seconds
+        val DETECTION_TIME = 27.milliseconds
+        val STORE_DELAY = 900.milliseconds
+        val STABLE_WINDOW = 3.seconds
+    }
+}
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -67,10 +67,11 @@
     }
 
     private fun onFailure(event: ClientEvent.Failed) {
-        val failedId = endpoint?.id
-        endpoint?.let { reportLoss(event, it, isAnswered = false) }
-        if (failedId != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failedId)
-        onAttemptFailed(endOf(event), event.kind.name.lowercase(), failedId)
+        val failed = endpoint
+        if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
+        afterFailure(event, failed, isAnswered = false) {
+            onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id)
+        }
     }
 
     private fun onOversized() {
@@ -97,6 +98,7 @@
     private fun onResponse(head: ClientEvent.Head) {
         val from = endpoint ?: return
         context.directory.onSuccess(from.id, startedAt)
+        onAnswered()
         val answer = body.toByteArray()
         when {
             isRefusal(head) -> onRefused(head, from)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.relay.SharedRefusal
@@ -25,6 +26,11 @@
         val refusal: SharedRefusal,
     ) : PeerHint
 
+    /** What an instance has observed about ends of endpoints. */
+    data class Crashes(
+        val news: CrashNews,
+    ) : PeerHint
+
     /** [instance] stops. */
     data class Stopping(
         val instance: InstanceId,
@@ -40,20 +46,24 @@
     private val group: EventLoopGroup,
     private val onReceived: (PeerHint) -> Unit,
 ) {
-    /** Has either an endpoint with the start of its process, or a stopping instance. */
+    /** Has either an endpoint with the start of its process, a stopping instance, or news about ends of endpoints. */
     @Serializable
     private class Message(
         val endpoint: String? = null,
         val startedAt: Long? = null,
         val stopping: String? = null,
+        val crashes: CrashNews? = null,
     )
 
     private val format = Json { ignoreUnknownKeys = true }
     private var channel: Channel? = null
 
-    /** The addresses of the other instances. */
+    /** The addresses of the other instances of the zone. */
     var peers: List<Address> = emptyList()
 
+    /** The addresses of the other instances of all zones. */
+    var allPeers: List<Address> = emptyList()
+
     /**
      * Starts to receive datagrams at [address]; must not be called on the event loop.
      *
@@ -72,24 +82,27 @@
         return Address(address.host, (bound.localAddress() as InetSocketAddress).port)
     }
 
-    /** Sends [hint] once to each peer. */
+    /** Sends [hint] once to each instance that it concerns: those of the zone, or all for ends of endpoints. */
     fun send(hint: PeerHint) {
         val sender = channel ?: return
+        val receivers = if (hint is PeerHint.Crashes) allPeers else peers
         val text = format.encodeToString(Message.serializer(), encode(hint))
         val bytes = text.toByteArray()
-        peers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.toSocketAddress())) }
+        receivers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.toSocketAddress())) }
         sender.flush()
     }
 
     private fun encode(hint: PeerHint): Message =
         when (hint) {
             is PeerHint.Refusal -> Message(hint.refusal.endpoint.value, hint.refusal.startedAt)
+            is PeerHint.Crashes -> Message(crashes = hint.news)
             is PeerHint.Stopping -> Message(stopping = hint.instance.value)
         }
 
     private fun decode(message: Message): PeerHint {
         message.stopping?.let { return PeerHint.Stopping(InstanceId(it)) }
-        val endpoint = requireNotNull(message.endpoint) { "neither an endpoint nor a stopping instance" }
+        message.crashes?.let { return PeerHint.Crashes(it) }
+        val endpoint = requireNotNull(message.endpoint) { "neither an endpoint, a stopping instance nor news" }
         val startedAt = requireNotNull(message.startedAt) { "no start of the endpoint's process" }
         return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startedAt))
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import oriolespindle.core.config.Revision
+import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.RequestId
@@ -82,6 +83,7 @@
             )
         settings.metrics?.let { readiness.bind(it) }
         context.shareRefusal = { hints.send(PeerHint.Refusal(it)) }
+        context.shareCrashNews = { hints.send(PeerHint.Crashes(it)) }
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
         component.start(rank = Math.floorMod(settings.instance.value.hashCode(), LEASE_RANKS))
@@ -205,12 +207,38 @@
         placement?.onInstanceCountChanged(all)
     }
 
-    /** Replaces the other instances of this zone that exchange hints, with the addresses at which they receive them. */
-    public fun setPeers(peers: Map<InstanceId, Address>) {
-        hints.peers = peers.values.toList()
-        context.stoppingPeers.peers = peers.keys
+    /**
+     * Replaces the other instances that exchange hints, with the addresses at which they receive them.
+     *
+     * Those of this zone are [inZone], and [all] has those of every zone.
+     */
+    public fun setPeers(
+        inZone: Map<InstanceId, Address>,
+        all: Collection<Address> = inZone.values,
+    ) {
+        hints.peers = inZone.values.toList()
+        hints.allPeers = all.toList()
+        context.stoppingPeers.peers = inZone.keys
+    }
+
+    /** Calls [action] whenever [unstoredCrashNews] has something that the store should keep. */
+    public fun onUnstoredCrashNews(action: () -> Unit) {
+        context.harmful.onUnstoredNews = action
     }
 
+    /** Returns what instances that start later must know about ends of endpoints; null if the store has it. */
+    public fun unstoredCrashNews(): CrashNews? = context.harmful.unstoredNews()
+
+    /** Merges the [news] that the object [name] of the store has; they were written [age] ago. */
+    public fun onStoredCrashNews(
+        name: String,
+        news: CrashNews,
+        age: Duration,
+    ): Unit = context.harmful.onStored(name, news, age)
+
+    /** Called when the object [name] of the store was deleted, which lifts the rejections that rest on it. */
+    public fun onStoredCrashNewsRemoved(name: String): Unit = context.harmful.onStoredRemoved(name)
+
     /** Called when the store stops answering this instance. */
     public fun onStoreLost() {
         EventLog.warn("store unreachable")
@@ -242,6 +270,7 @@
     private fun onHint(hint: PeerHint) {
         when (hint) {
             is PeerHint.Refusal -> context.directory.onSharedRefusal(monotonicNow(), hint.refusal)
+            is PeerHint.Crashes -> context.harmful.onNews(hint.news)
             is PeerHint.Stopping -> context.stoppingPeers.onStopping(monotonicNow(), hint.instance)
         }
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayAnswers.kt
@@ -13,6 +13,9 @@
     /** The reason of answers to requests that the instance cannot finish before it is killed. */
     const val STOPPING = "stopping"
 
+    /** The reason of answers to requests under which endpoints have ended. */
+    const val QUARANTINED = "quarantined"
+
     /** The reason of answers to requests that an error of the relay's own code has ended. */
     const val UNEXPECTED_ERROR = "unexpected_error"
     private const val UNAVAILABLE = 503
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.relay
 
+import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.lifecycle.StoppingPeers
 import oriolespindle.core.placement.PathFinder
@@ -45,11 +46,17 @@
     val refusalSharing = RefusalSharing()
     val durations = AnswerDurations()
     val stoppingPeers = StoppingPeers()
-    val losses = EndpointLosses(timers, http::probe) { metrics.onEndpointEnded() }
+    val harmful = HarmfulRequests(timers, metrics, send = { shareCrashNews(it) }, ::endRejectedRequests)
+    val losses = EndpointLosses(timers, http::probe, harmful::onCrash)
 
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
 
+    /** Sends news about ends of endpoints to all other instances. */
+    var shareCrashNews: (CrashNews) -> Unit = {}
+
+    private fun endRejectedRequests() = sessions.toList().forEach { it.onRejectionsAdded() }
+
     /** Log fields that tell how current the configuration and the endpoints are. */
     fun contactFields(): Array<Pair<String, Any?>> =
         arrayOf(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import oriolespindle.core.crash.RequestTrait
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.relay.AttemptDecision
 import oriolespindle.core.relay.AttemptEnd
@@ -60,7 +61,7 @@
                 refuse(reason = "deadline_passed", retryAfter = null)
             } else {
                 expiryTimer = context.timers.after(remaining) { guarded { if (!ended) onExpired() } }
-                startAttempt()
+                beginAttempt()
             }
         }
 
@@ -92,6 +93,30 @@
         }
     }
 
+    /** Starts an attempt, unless endpoints have ended under requests like this one. */
+    private fun beginAttempt() {
+        val rejection = rejection()
+        if (rejection == null) startAttempt() else endRejected(rejection)
+    }
+
+    /** Returns why the request must reach no endpoint; one that was answered by an endpoint is not harmful. */
+    private fun rejection(): Set<RequestTrait>? = if (answerBegun) null else context.harmful.rejection(request.traits)
+
+    /** Ends the request if it is among those that are rejected from now on. */
+    fun onRejectionsAdded() =
+        guarded {
+            val rejection = if (ended) null else rejection()
+            if (rejection != null) endRejected(rejection)
+        }
+
+    private fun endRejected(rejection: Set<RequestTrait>) {
+        EventLog.info("request rejected", "request" to request.id, "traits" to rejection)
+        endWithoutAnswer(RelayAnswers.QUARANTINED, BAD_GATEWAY, context.harmful.rejectedFor(rejection))
+    }
+
+    /** Called when an endpoint has begun to answer the request. */
+    protected fun onAnswered() = context.harmful.onAnswered(request.traits)
+
     /** Starts one attempt at an endpoint that may receive the request. */
     protected abstract fun startAttempt()
 
@@ -166,7 +191,7 @@
                 maxIdle = maxIdle,
                 connections = connections,
                 notAfter = expiry,
-                isWanted = { receivers.all { context.directory.isInUse(monotonicNow(), it) } },
+                isWanted = { rejection() == null && receivers.all { context.directory.isInUse(monotonicNow(), it) } },
                 isAnswer = ::isAnswer,
                 isReusableAfter = ::bearsId,
                 onHead = { context.answers.onHead(endpoint, it) },
@@ -205,14 +230,37 @@
         dropped?.cancel()
     }
 
-    /** Reports the loss of a connection; [isAnswered] is whether [endpoint] had begun to answer. */
-    protected fun reportLoss(
+    /**
+     * Calls [next] after a failed call to [endpoint].
+     *
+     * A request that [endpoint] had not begun to answer when its connection was lost waits until it is known whether
+     * the endpoint has ended, since it may be the cause and must not end another one.
+     */
+    protected fun afterFailure(
         event: ClientEvent.Failed,
-        endpoint: RelayEndpoint,
+        endpoint: RelayEndpoint?,
         isAnswered: Boolean,
+        next: () -> Unit,
     ) {
-        if (event.kind != FailureKind.CONNECTION_LOST || !event.sent) return
-        context.losses.onConnectionLost(endpoint, request.traits.all.takeUnless { isAnswered }) {}
+        val isLoss = event.kind == FailureKind.CONNECTION_LOST && event.sent
+        when {
+            !isLoss || endpoint == null -> {
+                next()
+            }
+
+            isAnswered -> {
+                context.losses.onConnectionLost(endpoint, unanswered = null) {}
+                next()
+            }
+
+            else -> {
+                val lostCall = call
+                stopWatching()
+                context.losses.onConnectionLost(endpoint, request.traits.all) {
+                    guarded { if (!ended && call === lostCall) next() }
+                }
+            }
+        }
     }
 
     /** Decides what follows an attempt without a usable answer; [reason] appears in logs and metrics. */
@@ -302,7 +350,7 @@
 
     private fun retry(reason: String) {
         context.metrics.onRetry(reason)
-        startAttempt()
+        beginAttempt()
     }
 
     private fun retryLater(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -36,8 +36,11 @@
     private val continuation = StreamContinuation()
     private var forwardedEvents = 0
 
+    /** The forwarded events of the run in progress. */
+    private var runEvents = 0
+
     /** Whether an event of the run in progress was forwarded, so that it is known to continue the answer. */
-    private var hasJoined = false
+    private val hasJoined: Boolean get() = runEvents > 0
 
     /** Whether the run in progress has sent any byte of a body. */
     private var hasBody = false
@@ -66,7 +69,7 @@
         awaitsFirstEvent = true
         context.concurrency.onStreamStarted(startedAt, target.id)
         head = null
-        hasJoined = false
+        runEvents = 0
         hasBody = false
         framer.reset()
         if (answerBegun) position.onResumed()
@@ -208,7 +211,8 @@
             beginAnswer(checkNotNull(head))
         }
         forwardedEvents++
-        hasJoined = true
+        runEvents++
+        if (runEvents == EVENTS_OF_ANSWER) onAnswered()
         lastEventAt = monotonicNow()
         recordFirstEventLatency()
         path?.parts?.forEach { context.directory.onSuccess(it.endpoint.id, startedAt) }
@@ -296,6 +300,7 @@
             return
         }
         if (!answerBegun) beginAnswer(current)
+        if (runEvents < EVENTS_OF_ANSWER) onAnswered()
         complete(current.status)
         exchange.endStream()
     }
@@ -320,10 +325,11 @@
     }
 
     private fun onFailure(event: ClientEvent.Failed) {
-        first?.let { reportLoss(event, it, isAnswered = hasJoined) }
-        val first = first?.id
-        if (first != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), first)
-        onAttemptFailed(endOf(event), event.kind.name.lowercase(), first)
+        val failed = first
+        if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
+        afterFailure(event, failed, isAnswered = runEvents >= EVENTS_OF_ANSWER) {
+            onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id)
+        }
     }
 
     /** Whether the attempt may be abandoned for another one; a stream that cannot run again stays at its endpoint. */
@@ -428,5 +434,8 @@
 
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
+
+        /** The events after which an endpoint has evidently survived the beginning of an answer. */
+        const val EVENTS_OF_ANSWER = 2
     }
 }
