Count answers that end with their connection among lost ones, and resend less

A harmful request whose answer has neither a length nor chunks ended as 'no_events' or 'event_cut', which was not counted as a lost connection; its engine's end was then only seen through other requests. Such ends are probed in the same way now. SharedPartCrashTest has the case, and that of a call that is repeated: three endpoints end, further repeats are answered 503.

Reports about an end are sent again only if a trait is suspect for the second time: after the end of many endpoints of a large fleet most reports concern nothing but the end itself.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -133,7 +133,7 @@
      * least the second time.
      */
     public fun lastingNews(now: Timestamp): CrashNews {
-        val repeated = crashesByTrait.keys.filterTo(HashSet(), ::isRepeated)
+        val repeated = crashesByTrait.filterValues { it.size >= MIN_REPEATED }.keys.filterTo(HashSet(), ::isRepeated)
         val reports =
             crashes.values.mapNotNull { crash ->
                 val requests = crash.requests.filter { request -> request.any { it in repeated } }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
@@ -142,6 +142,8 @@
         val observedAt = time.now
         for (delay in listOf(Duration.ZERO, 250.milliseconds, 1.seconds)) {
             time.after(delay) {
+                val isLasting = guards[instance].lastingNews(time.now).crashes.any { it.process == process }
+                if (delay > Duration.ZERO && !isLasting) return@after
                 val report = CrashReport(process, requests, (time.now - observedAt).inWholeMilliseconds)
                 send(instance, CrashNews(listOf(report), guards[instance].known(requests.flatten())))
             }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -69,9 +69,8 @@
     private fun onFailure(event: ClientEvent.Failed) {
         val failed = endpoint
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
-        afterFailure(event, failed, isAnswered = false) {
-            onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id)
-        }
+        val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
+        if (failed != null && isLoss(event)) afterLoss(failed, isAnswered = false, next) else next()
     }
 
     private fun onOversized() {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -68,9 +68,14 @@
         update { guard.onCrash(observedAt, process, requests) }
         checkStored()
         tell(process, requests, observedAt)
-        RESEND_DELAYS.forEach { delay -> timers.after(delay) { tell(process, requests, observedAt) } }
+        RESEND_DELAYS.forEach { delay ->
+            timers.after(delay) { if (isLasting(process)) tell(process, requests, observedAt) }
+        }
     }
 
+    private fun isLasting(process: EndpointProcess): Boolean =
+        guard.lastingNews(monotonicNow()).crashes.any { it.process == process }
+
     private fun tell(
         process: EndpointProcess,
         requests: List<Set<RequestTrait>>,
@@ -147,7 +152,7 @@
         }
 
     private companion object {
-        /** Datagrams may be lost. */
+        /** Datagrams may be lost; one about an end that is a matter of suspicion is sent again after these delays. */
         val RESEND_DELAYS = listOf(250.milliseconds, 1.seconds)
         val EXPIRY_INTERVAL = 10.seconds
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -231,23 +231,17 @@
     }
 
     /**
-     * Calls [next] after a failed call to [endpoint].
+     * Calls [next] after the connection to [endpoint] has ended before the answer was complete.
      *
-     * A request that [endpoint] had not begun to answer when its connection was lost waits until it is known whether
-     * the endpoint has ended, since it may be the cause and must not end another one.
+     * A request that [endpoint] had not begun to answer waits until it is known whether the endpoint has ended, since
+     * it may be the cause and must not end another one.
      */
-    protected fun afterFailure(
-        event: ClientEvent.Failed,
-        endpoint: RelayEndpoint?,
+    protected fun afterLoss(
+        endpoint: RelayEndpoint,
         isAnswered: Boolean,
         next: () -> Unit,
     ) {
-        val isLoss = event.kind == FailureKind.CONNECTION_LOST && event.sent
         when {
-            !isLoss || endpoint == null -> {
-                next()
-            }
-
             isAnswered -> {
                 context.losses.onConnectionLost(endpoint, unanswered = null) {}
                 next()
@@ -480,6 +474,9 @@
         /** Maps a failure of the HTTP client; only a request that was never sent certainly did not run. */
         fun endOf(event: ClientEvent.Failed): AttemptEnd = if (event.sent) AttemptEnd.Unknown else AttemptEnd.NotSent
 
+        /** Whether the connection ended after the request was sent, which the end of the endpoint may have caused. */
+        fun isLoss(event: ClientEvent.Failed): Boolean = event.kind == FailureKind.CONNECTION_LOST && event.sent
+
         /** Whether a failure points to the whole endpoint rather than to one connection or request. */
         fun concernsEndpoint(event: ClientEvent.Failed): Boolean =
             event.kind == FailureKind.CONNECT_FAILED || event.kind == FailureKind.CONNECTION_LOST
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -42,6 +42,9 @@
     /** Whether an event of the run in progress was forwarded, so that it is known to continue the answer. */
     private val hasJoined: Boolean get() = runEvents > 0
 
+    /** Whether the endpoint has evidently survived the beginning of its answer. */
+    private val isRunAnswered: Boolean get() = runEvents >= EVENTS_OF_ANSWER
+
     /** Whether the run in progress has sent any byte of a body. */
     private var hasBody = false
 
@@ -267,7 +270,7 @@
             }
 
             isStream() -> {
-                onStreamEnded(first.id)
+                onStreamEnded(first)
             }
 
             !isDeliverable(head) -> {
@@ -288,23 +291,33 @@
         }
     }
 
-    private fun onStreamEnded(first: EndpointId) {
+    private fun onStreamEnded(first: RelayEndpoint) {
+        val current = checkNotNull(head)
         if (framer.hasPartialEvent) {
-            onAttemptFailed(AttemptEnd.Unknown, "event_cut", first)
+            onBrokenOff(current, first, "event_cut")
             return
         }
-        val current = checkNotNull(head)
         val isEmpty = !hasBody && continuation.hasExplicitEnd(current)
         if (!hasJoined && !isEmpty) {
-            onAttemptFailed(AttemptEnd.Unknown, "no_events", first)
+            onBrokenOff(current, first, "no_events")
             return
         }
         if (!answerBegun) beginAnswer(current)
-        if (runEvents < EVENTS_OF_ANSWER) onAnswered()
+        if (!isRunAnswered) onAnswered()
         complete(current.status)
         exchange.endStream()
     }
 
+    /** Ends a run that is not complete; without an explicit end, its endpoint may have ended with the connection. */
+    private fun onBrokenOff(
+        head: ClientEvent.Head,
+        first: RelayEndpoint,
+        reason: String,
+    ) {
+        val next = { onAttemptFailed(AttemptEnd.Unknown, reason, first.id) }
+        if (continuation.hasExplicitEnd(head)) next() else afterLoss(first, isAnswered = isRunAnswered, next)
+    }
+
     private fun deliverFailure(
         head: ClientEvent.Head,
         body: ByteArray,
@@ -327,9 +340,8 @@
     private fun onFailure(event: ClientEvent.Failed) {
         val failed = first
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
-        afterFailure(event, failed, isAnswered = runEvents >= EVENTS_OF_ANSWER) {
-            onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id)
-        }
+        val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
+        if (failed != null && isLoss(event)) afterLoss(failed, isAnswered = isRunAnswered, next) else next()
     }
 
     /** Whether the attempt may be abandoned for another one; a stream that cannot run again stays at its endpoint. */
@@ -435,7 +447,6 @@
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
 
-        /** The events after which an endpoint has evidently survived the beginning of an answer. */
         const val EVENTS_OF_ANSWER = 2
     }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/SharedPartCrashTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/SharedPartCrashTest.kt
@@ -20,13 +20,17 @@
         engines.forEach { it.close() }
     }
 
-    /** An engine that ends shortly after it has received a request with the part `bad`. */
-    private fun engine(name: String): ScriptedEndpoint {
+    /** An endpoint that ends shortly after it has received a request that [isBad]. */
+    private fun engine(
+        name: String,
+        head: (ReceivedRequest) -> String = Scripts::streamHead,
+        isBad: (ReceivedRequest) -> Boolean = { "bad:" in it["Parts"].orEmpty() },
+    ): ScriptedEndpoint {
         lateinit var engine: ScriptedEndpoint
         engine =
             ScriptedEndpoint(name) { request, _ ->
-                write(Scripts.streamHead(request))
-                if ("bad:" in request["Parts"].orEmpty()) {
+                write(head(request))
+                if (isBad(request)) {
                     Thread.sleep(CRASH_DELAY_MILLIS)
                     ended += name
                     engine.close()
@@ -61,6 +65,34 @@
         expectThat(bad.takeLast(REQUESTS - MAX_CRASHES).toSet()).isEqualTo(setOf(503))
     }
 
+    @Test
+    fun `the same holds for answers that end with their connection`() {
+        engines.forEach { it.close() }
+        val unframed = { request: ReceivedRequest ->
+            Scripts.streamHead(request).replace("Transfer-Encoding: chunked\r\n", "") + "id: 1\n"
+        }
+        val others = List(ENGINES) { engine("u$it", unframed) }
+        relay.configure(RelayFixture.route(RouteKind.STREAM, isResumable = true), model = RelayFixture.model)
+        relay.register(*others.map { it.registration(RelayFixture.allLayers) }.toTypedArray())
+        repeat(REQUESTS) { id -> send(id, "first:200,bad:50,other$id:10") }
+        others.forEach { it.close() }
+
+        expectThat(ended.size).isLessThanOrEqualTo(MAX_CRASHES)
+    }
+
+    @Test
+    fun `a call under which three endpoints have ended reaches no further one when it is repeated`() {
+        engines.forEach { it.close() }
+        val services = List(ENGINES) { engine("s$it", head = { "" }, isBad = { it.body == "bad" }) }
+        relay.configure(RelayFixture.route(RouteKind.NON_IDEMPOTENT, maxAttempts = 1))
+        relay.register(*services.map { it.registration() }.toTypedArray())
+        val statuses = (1..REQUESTS).map { relay.call(headers = mapOf("Request-Name" to "n$it"), body = "bad").status }
+        services.forEach { it.close() }
+
+        expectThat(statuses).isEqualTo(List(MAX_CRASHES) { 502 } + List(REQUESTS - MAX_CRASHES) { 503 })
+        expectThat(ended.size).isEqualTo(MAX_CRASHES)
+    }
+
     private companion object {
         const val ENGINES = 14
         const val REQUESTS = 6
