Do not join a run that has started over to a begun stream

Callers got the events of two runs as one complete stream when the endpoint that should resume it ignored Last-Event-ID: the events up to the last forwarded one counted as repeated, and those after it were forwarded. A new run may differ from the first one, so the joined text is of neither.

A resumed run that begins before the last forwarded event is not joined now; the attempt fails as 'event_missing'.

Before: RelayStreamTest got events 1 to 6 as complete, EventFramerTest DUPLICATE instead of GAP.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/StreamPosition.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/StreamPosition.kt
@@ -8,14 +8,15 @@
     /** The event was forwarded before. */
     DUPLICATE,
 
-    /** An event before this one is missing, so the stream must not continue. */
+    /** The run does not continue the stream: it skips an event, or it has started over. */
     GAP,
 }
 
 /**
  * The position of a caller in its stream across all runs that contributed to it.
  *
- * Ids may skip numbers within a run. The first event that a resumed run adds must have the id after the last one.
+ * Ids may skip numbers within a run. A resumed run may repeat the last event, and the first one that it adds must have
+ * the id after the last one. One that begins earlier has started over, and its events may differ from those before.
  */
 public class StreamPosition(
     /** The id of the last event that the caller had received before this request, or null if it had none. */
@@ -36,6 +37,7 @@
     public fun accept(id: Long?): EventVerdict {
         val previous = last
         if (id == null) return if (isJoining) EventVerdict.GAP else EventVerdict.FORWARD
+        if (isJoining && previous != null && id < previous) return EventVerdict.GAP
         if (previous != null && id <= previous) return EventVerdict.DUPLICATE
         if (isJoining && previous != null && id != previous + 1) return EventVerdict.GAP
         isJoining = false
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EventFramerTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EventFramerTest.kt
@@ -70,4 +70,13 @@
         expectThat(position.accept(6)).isEqualTo(EventVerdict.GAP)
         expectThat(position.last).isEqualTo(4)
     }
+
+    @Test
+    fun `guards against the events of a run that has started over`() {
+        val position = StreamPosition(startAfter = null)
+        (1L..3L).forEach { position.accept(it) }
+        position.onResumed()
+
+        expectThat((1L..4L).map { position.accept(it) }.first()).isEqualTo(EventVerdict.GAP)
+    }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayStreamTest.kt
@@ -107,6 +107,22 @@
         expectThat(answer.isComplete).isFalse()
     }
 
+    @Test
+    fun `does not join a second run that starts over`() {
+        val first =
+            endpoint("e1") { request, _ ->
+                write(Scripts.streamHead(request))
+                events(1..3)
+                Thread.sleep(50)
+                reset()
+            }
+        serve(first, endpoint("e2") { request, _ -> completeStream(request, 1..6) })
+        val answer = relay.call()
+
+        expectThat(answer.body).isEqualTo(text(1..3))
+        expectThat(answer.isComplete).isFalse()
+    }
+
     @Test
     fun `does not run a stream twice if it is not resumable`() {
         val first =
