--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashNews.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashNews.kt
@@ -20,7 +20,7 @@
     public val ageMillis: Long = 0,
 )
 
-/** What an instance tells the others about ends of endpoints; merging it is idempotent and commutative. */
+/** What an instance tells the others about ends of endpoints; reports may arrive repeatedly and in any order. */
 @Serializable
 public data class CrashNews(
     public val crashes: List<CrashReport> = emptyList(),
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -97,7 +97,7 @@
     private fun onResponse(head: ClientEvent.Head) {
         val from = endpoint ?: return
         context.directory.onSuccess(from.id, startedAt)
-        onAnswered()
+        if (!isRefusal(head) && isDeliverable(head)) onAnswered()
         val answer = body.toByteArray()
         when {
             isRefusal(head) -> onRefused(head, from)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
@@ -32,12 +32,13 @@
     ) {
         var count = 0
         val unanswered = ArrayList<Set<RequestTrait>>()
-        val waiting = ArrayList<() -> Unit>()
+        val waiting = LinkedHashSet<() -> Unit>()
 
-        fun release() {
-            val callbacks = waiting.toList()
-            waiting.clear()
-            callbacks.forEach { it() }
+        fun release() = waiting.toList().forEach(::release)
+
+        /** Calls [callback] unless that has been done. */
+        fun release(callback: () -> Unit) {
+            if (waiting.remove(callback)) callback()
         }
     }
 
@@ -58,13 +59,13 @@
         losses.count++
         unanswered?.let { losses.unanswered += it }
         losses.waiting += onSettled
+        timers.after(MAX_WAIT) { losses.release(onSettled) }
     }
 
     private fun settleLater(losses: Losses) {
         timers.after(GATHERING_TIME) {
             probe(Address.parse(losses.endpoint.address)) { isReachable -> settle(losses, isReachable) }
         }
-        timers.after(MAX_WAIT) { losses.release() }
     }
 
     private fun settle(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -446,7 +446,6 @@
 
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
-
         const val EVENTS_OF_ANSWER = 2
     }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/SharedPartCrashTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/SharedPartCrashTest.kt
@@ -93,6 +93,25 @@
         expectThat(ended.size).isEqualTo(MAX_CRASHES)
     }
 
+    @Test
+    fun `a refusal of an endpoint does not end the suspicion of a call`() {
+        engines.forEach { it.close() }
+        val services = List(ENGINES) { engine("s$it", head = { "" }, isBad = { it.body == "bad" }) }
+        relay.configure(RelayFixture.route(RouteKind.NON_IDEMPOTENT, maxAttempts = 1))
+        val statuses =
+            (0 until REQUESTS).map { id ->
+                val full = ScriptedEndpoint("full$id") { request, _ -> write(Scripts.refused(request)) }
+                relay.register(full.registration())
+                relay.call(headers = mapOf("Request-Name" to "f$id"), body = "bad")
+                relay.register(services[id].registration())
+                full.close()
+                relay.call(headers = mapOf("Request-Name" to "n$id"), body = "bad").status
+            }
+        services.forEach { it.close() }
+
+        expectThat(statuses).isEqualTo(List(MAX_CRASHES) { 502 } + List(REQUESTS - MAX_CRASHES) { 503 })
+    }
+
     private companion object {
         const val ENGINES = 14
         const val REQUESTS = 6
