--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
 cd "$case_dir/../.." || exit 2
-[ -f target/review/review/PauseForgotten.class ] || { echo "review/build.sh has not been run"; exit 2; }
+[ -f target/review/review/BornEarlier.class ] || { echo "review/build.sh has not been run"; exit 2; }
 ls target/oriolespindle-platform/*-program.jar >/dev/null 2>&1 || { echo "the deploy file's build has not been run"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-"${JAVA_HOME:+$JAVA_HOME/bin/}java" -Xmx256m -cp target/review review.PauseForgotten "$case_dir"
+"${JAVA_HOME:+$JAVA_HOME/bin/}java" -Xmx256m -cp target/review review.BornEarlier "$case_dir"
--- a/review/standins/review/Bench.java
+++ b/review/standins/review/Bench.java
@@ -1,7 +1,6 @@
 package review;
 
 import java.io.BufferedWriter;
-import java.io.File;
 import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -34,6 +33,7 @@
     final Store store;
     private final BufferedWriter record;
     private final List<Process> processes = new ArrayList<>();
+    private final List<Path> outputs = new ArrayList<>();
 
     private Bench(Path record) throws Exception {
         this.record = Files.newBufferedWriter(record);
@@ -107,7 +107,7 @@
             callers = "127.0.0.1:" + freePort();
             readiness = "127.0.0.1:" + freePort();
             output = Files.createTempFile("relay-" + name, ".log");
-            output.toFile().deleteOnExit();
+            outputs.add(output);
             Map<String, String> settings =
                 Map.ofEntries(
                     Map.entry("node_name", name), Map.entry("zone", zone), Map.entry("listen.frontend", callers),
@@ -188,6 +188,8 @@
                 }
             }
             processes.clear();
+            for (Path output : outputs) output.toFile().delete();
+            outputs.clear();
         }
     }
 
