--- a/review/standins/review/BornEarlier.java
+++ b/review/standins/review/BornEarlier.java
@@ -67,9 +67,6 @@
 
     private static String run(Bench bench) throws Exception {
         bench.store.put("config", "main", Bench.configuration(1, 15000, Bench.route("/deduct/", "unsafe", 600)));
-        long now = System.currentTimeMillis();
-        // The time of day of i-1's machine is ahead when it starts; it is set right before i-1 starts again.
-        long born = now + STEP_MS;
         Http.Listener first = new Http.Listener((r, o, s) -> first(bench, r, o));
         Http.Listener second =
             new Http.Listener((r, o, s) -> {
@@ -77,12 +74,21 @@
                 Thread.sleep(WORK_MS);
                 return answer(o, "i-2", attempt);
             });
-        bench.store.put("servers", "i-2", Bench.entry(second.address, "b", "ready", now, 1));
-        bench.store.put("servers", "i-1", Bench.entry(first.address, "a", "ready", born, 1));
+        bench.store.put("servers", "i-2", Bench.entry(second.address, "b", "ready", System.currentTimeMillis(), 1));
         Bench.Instance relay = bench.new Instance("front-a-1", "a").awaitReady();
+        // The time of day of i-1's machine is ahead when it starts; it is right when i-1 starts again.
+        long born = System.currentTimeMillis() + STEP_MS;
+        long startedAt = Bench.millis();
+        bench.store.put("servers", "i-1", Bench.entry(first.address, "a", "ready", born, 1));
+        bench.log("i-1 has started");
+        for (int n = 0; SERVED.get() == 0; n++) {
+            if (Bench.millis() - startedAt > STEP_MS - 700) throw new Bench.CannotRun("i-1 was not used in time");
+            call(bench, relay, "first-" + n);
+            Thread.sleep(100);
+        }
         isDown = true;
         bench.log("i-1 crashes");
-        Thread.sleep(500);
+        Thread.sleep(300);
         isDown = false;
         long bornAgain = bench.trouble ? System.currentTimeMillis() : System.currentTimeMillis() + STEP_MS;
         bench.store.put("servers", "i-1", Bench.entry(first.address, "a", "ready", bornAgain, 1));
