Bound what a stream takes without progress, and the work for it

Callers saw: while one endpoint sent blank lines without end in its streams, the instance answered nobody.

Cause: on the one event loop, each blank line or comment became an event of its own, was copied and decoded, and was passed on with a write and a flush of its own. Nothing counted such bytes, so only the timer of the stall detection ended the run, and it waits for the same loop. A rest without an end was copied onto itself for each part that arrived, and one connection handed up to 16 reads of 64 KB to the loop before the others had their turn.

Change: StreamReader decides in one step what the bytes of a read add to the caller's stream, and they are passed on in one write. Comments and repeated events count, in bytes and in number, from one event that continues the stream to the next; beyond the limit the run ends as NO_PROGRESS where the bytes come in, without a timer. The stream is resumed elsewhere, and the endpoint gets nothing for 3 s, since earlier streams that progress would lift the backoff of failures. One connection has one read of at most 16 KB in each iteration of the loop, and flushes of one iteration are combined.

Why it works: the work for bytes without progress is now a constant for each run and is shared out between connections.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -28,6 +28,8 @@
     public val maxRefusalBackoff: Duration = 1_000.milliseconds,
     /** The backoff after another endpoint reports one as lost; it is gone for good or restarts as a new process. */
     public val lostEndpointBackoff: Duration = 3_000.milliseconds,
+    /** The backoff after an answer that went on without progress; each further one costs a stream another attempt. */
+    public val endlessAnswerBackoff: Duration = 3_000.milliseconds,
     /** The longest pause that an endpoint can ask for; a wrong number must not keep requests from it for long. */
     public val maxRequestedPause: Duration = 60_000.milliseconds,
 )
@@ -188,6 +190,17 @@
         entry.refusalBackoff.start(now)
     }
 
+    /** Starts a backoff because [endpoint] went on sending without any progress of the answer. */
+    public fun onEndlessAnswer(
+        now: Timestamp,
+        endpoint: EndpointId,
+    ) {
+        val entry = entries[endpoint] ?: return
+        // Other streams that were sent before may progress until they meet the same fault.
+        entry.refusedAt = now
+        entry.refusalBackoff.startFor(now, settings.endlessAnswerBackoff)
+    }
+
     /**
      * Starts a backoff because another instance was told that [endpoint] refuses.
      *
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
@@ -1,12 +1,12 @@
 package oriolespindle.core.relay
 
-/** One complete event of an event stream. */
+/** One complete event of an event stream, or the comments and blank lines between two events. */
 public class FramedEvent(
     /** The bytes of the event, including the blank line that ends it. */
     public val bytes: ByteArray,
     /** The numeric id of the event, or null if it has none. */
     public val id: Long?,
-    /** Whether it has no field, so that it carries no part of the answer: a comment or blank lines. */
+    /** Whether it has no field, so that it carries no part of the answer: comments or blank lines. */
     public val isComment: Boolean = false,
     /** Whether it has lines but no field of an event, such as an error page among the events of a stream. */
     public val isMalformed: Boolean = false,
@@ -29,12 +29,13 @@
     /** Whether an event is buffered that is not complete yet. */
     public val hasPartialEvent: Boolean get() = size > 0
 
-    /** Appends [bytes] and returns the events that they complete. */
+    /** Appends [bytes] and returns the events that they complete; consecutive comments are one event. */
     public fun feed(bytes: ByteArray): List<FramedEvent> {
         if (size + bytes.size > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, size + bytes.size))
         bytes.copyInto(buffer, size)
         size += bytes.size
         val events = ArrayList<FramedEvent>()
+        var commentStart = 0
         var start = 0
         var position = scanned
         while (position + 1 < size) {
@@ -44,17 +45,26 @@
                 continue
             }
             position += length
-            val event = buffer.copyOfRange(start, position)
-            events += framed(event)
+            if (hasField(start, position)) {
+                if (commentStart < start) events += comment(commentStart, start)
+                events += framed(buffer.copyOfRange(start, position))
+                commentStart = position
+            }
             start = position
         }
-        buffer.copyInto(buffer, 0, start, size)
-        size -= start
+        if (commentStart < start) events += comment(commentStart, start)
+        discard(start)
         // A line break at the very end may be the first half of the end of an event.
         scanned = maxOf(0, size - MAX_EVENT_END)
         return events
     }
 
+    private fun discard(bytes: Int) {
+        if (bytes == 0) return
+        buffer.copyInto(buffer, 0, bytes, size)
+        size -= bytes
+    }
+
     /** Discards a partial event; must be called before bytes of another answer are fed. */
     public fun reset() {
         size = 0
@@ -71,14 +81,35 @@
 
     private fun isCrLf(position: Int) = position + 1 < size && buffer[position] == CR && buffer[position + 1] == LF
 
+    /** Whether a line between [start] and [end] is neither empty nor a comment. */
+    private fun hasField(
+        start: Int,
+        end: Int,
+    ): Boolean {
+        var isLineStart = true
+        for (i in start until end) {
+            val byte = buffer[i]
+            when {
+                byte == LF || byte == CR -> isLineStart = true
+                isLineStart && byte != COMMENT_BYTE -> return true
+                else -> isLineStart = false
+            }
+        }
+        return false
+    }
+
+    private fun comment(
+        start: Int,
+        end: Int,
+    ) = FramedEvent(buffer.copyOfRange(start, end), id = null, isComment = true)
+
     private fun framed(event: ByteArray): FramedEvent {
         val lines = event.decodeToString().lineSequence().filter { it.isNotEmpty() && !it.startsWith(COMMENT) }
         val id = lines.firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)
         return FramedEvent(
             bytes = event,
             id = id?.trim()?.toLongOrNull(),
-            isComment = lines.none(),
-            isMalformed = lines.any() && lines.none { it.substringBefore(':') in FIELDS },
+            isMalformed = lines.none { it.substringBefore(':') in FIELDS },
         )
     }
 
@@ -86,6 +117,7 @@
         const val INITIAL_CAPACITY = 1024
         const val ID_FIELD = "id:"
         const val COMMENT = ':'
+        const val COMMENT_BYTE = COMMENT.code.toByte()
 
         /** The fields that the format of event streams defines; endpoints may add others. */
         val FIELDS = setOf("id", "data", "event", "retry")
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -170,6 +170,20 @@
         expectThat(usable(start + 2_900.milliseconds)).containsExactly("a")
     }
 
+    @Test
+    fun `guards against streams going to an endpoint that answers without end, while earlier ones progress`() {
+        val a = EndpointId("a")
+        directory.put(endpoint("a"))
+        directory.onEndlessAnswer(start + 10.milliseconds, a)
+        directory.onSuccess(a, sentAt = start)
+        expectThat(usable(start + 3_000.milliseconds)).isEmpty()
+
+        expectThat(usable(start + 3_010.milliseconds)).containsExactly("a")
+        directory.onEndlessAnswer(start + 3_010.milliseconds, a)
+        directory.put(endpoint("a", startedAt = 2))
+        expectThat(usable(start + 3_010.milliseconds)).containsExactly("a")
+    }
+
     @Test
     fun `guards against a failure backoff that grows without bound`() {
         directory.put(endpoint("a"))
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -156,6 +156,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             // Reports a close by the server apart from one by this side, for example after a failed write.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, readSizes())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.inWholeMilliseconds.toInt())
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.flush.FlushConsolidationHandler
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
 import oriolespindle.core.contract.ContractCodec
@@ -54,6 +55,7 @@
                 .channel(ListenerChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readSizes())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_MARK, HIGH_MARK))
                 .childHandler(Initializer())
                 .bind(address.toSocketAddress())
@@ -105,6 +107,8 @@
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
+                // A server may send an answer in many tiny parts; those of one iteration of the loop share a flush.
+                FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true),
                 newTimeoutHandler(),
                 HttpServerCodec(config),
                 RequestAssembler { settings.maxBodyBytes },
@@ -128,5 +132,6 @@
         const val LOW_MARK = 16 * 1024
         const val HIGH_MARK = 64 * 1024
         const val MAX_INITIAL_LINE_BYTES = 8 * 1024
+        const val MAX_CONSOLIDATED_FLUSHES = 256
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -4,10 +4,11 @@
 import oriolespindle.core.placement.LayerPath
 import oriolespindle.core.placement.ModelLayout
 import oriolespindle.core.relay.AttemptEnd
-import oriolespindle.core.relay.EventFramer
-import oriolespindle.core.relay.EventVerdict
 import oriolespindle.core.relay.RelayEndpoint
+import oriolespindle.core.relay.StreamFault
+import oriolespindle.core.relay.StreamPart
 import oriolespindle.core.relay.StreamPosition
+import oriolespindle.core.relay.StreamReader
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.http.AnswerBuffer
 import oriolespindle.router.http.ClientEvent
@@ -26,8 +27,8 @@
     request: RelayRequest,
     private val model: ModelLayout?,
 ) : RelaySession(context, request) {
-    private val framer = EventFramer()
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
+    private val reader = StreamReader(position)
     private val failureBody = AnswerBuffer(context.http.buffers)
     private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
     private var path: LayerPath? = null
@@ -36,14 +37,11 @@
     private val continuation = StreamContinuation()
     private var forwardedEvents = 0
 
-    /** The forwarded events of the run in progress. */
-    private var runEvents = 0
-
     /** Whether an event of the run in progress was forwarded, so that it is known to continue the answer. */
-    private val hasJoined: Boolean get() = runEvents > 0
+    private val hasJoined: Boolean get() = reader.runEvents > 0
 
     /** Whether the endpoint has evidently survived the beginning of its answer. */
-    private val isRunAnswered: Boolean get() = runEvents >= EVENTS_OF_ANSWER
+    private val isRunAnswered: Boolean get() = reader.runEvents >= EVENTS_OF_ANSWER
 
     /** Whether the run in progress has sent any byte of a body. */
     private var hasBody = false
@@ -72,10 +70,8 @@
         awaitsFirstEvent = true
         context.concurrency.onStreamStarted(startedAt, target.id)
         head = null
-        runEvents = 0
         hasBody = false
-        framer.reset()
-        if (answerBegun) position.onResumed()
+        reader.onRunStarted(isResumed = answerBegun)
         path?.let { context.load.onRequestStarted(it, tokens) }
         exchange.onWritable = ::onCallerWritable
         val receivers = path?.parts?.map { it.endpoint } ?: listOf(target)
@@ -173,54 +169,42 @@
     }
 
     private fun onData(bytes: ByteArray) {
-        val current = call
         hasBody = true
-        val isAccepted = if (isStream()) forwardEvents(bytes) else failureBody.append(bytes)
-        if (isAccepted || ended || call !== current) return
-        val faulty = first?.id
-        abandonCall()
-        onAttemptFailed(AttemptEnd.Unknown, "answer_too_large", faulty)
+        if (isStream()) {
+            forward(reader.read(bytes))
+        } else if (!failureBody.append(bytes)) {
+            endRun(StreamFault.ANSWER_TOO_LARGE)
+        }
     }
 
-    /** Forwards the events that [bytes] complete; returns false if the event after them has become too large. */
-    private fun forwardEvents(bytes: ByteArray): Boolean {
-        for (record in framer.feed(bytes)) {
-            if (record.isComment) {
-                // Comments keep connections open but are no progress, so they do not end the wait for an event.
-                if (hasJoined) exchange.writeChunk(record.bytes)
-                continue
-            }
-            if (record.isMalformed) return onBadEvent("not_an_event")
-            when (position.accept(record.id)) {
-                EventVerdict.FORWARD -> forward(record.bytes)
-                EventVerdict.DUPLICATE -> Unit
-                EventVerdict.GAP -> return onBadEvent("event_missing")
-            }
-        }
-        return !framer.isOversized
+    /** Passes [part] on in one write, since a write for each of many small events would hold up other requests. */
+    private fun forward(part: StreamPart) {
+        if (part.events > 0) onEvents(part.events)
+        if (part.bytes.isNotEmpty()) exchange.writeChunk(part.bytes)
+        val fault = part.fault
+        if (fault != null && !ended) endRun(fault)
     }
 
-    /** Ends the run whose next event cannot be forwarded; returns true, since its bytes are handled. */
-    private fun onBadEvent(reason: String): Boolean {
+    /** Ends the run that cannot go on because of [fault]. */
+    private fun endRun(fault: StreamFault) {
         val faulty = first?.id
+        if (fault == StreamFault.NO_PROGRESS) faulty?.let { context.directory.onEndlessAnswer(monotonicNow(), it) }
         abandonCall()
-        onAttemptFailed(AttemptEnd.Unknown, reason, faulty)
-        return true
+        onAttemptFailed(AttemptEnd.Unknown, fault.name.lowercase(), faulty)
     }
 
-    private fun forward(event: ByteArray) {
+    /** Called before [count] events of the run in progress are passed on. */
+    private fun onEvents(count: Int) {
         if (forwardedEvents == 0) {
             context.metrics.onAnswerBegun(elapsed(request.arrivedAt))
             beginAnswer(checkNotNull(head))
         }
-        forwardedEvents++
-        runEvents++
-        if (runEvents == EVENTS_OF_ANSWER) onAnswered()
+        forwardedEvents += count
+        if (isRunAnswered && reader.runEvents - count < EVENTS_OF_ANSWER) onAnswered()
         lastEventAt = monotonicNow()
         recordFirstEventLatency()
         path?.parts?.forEach { context.directory.onSuccess(it.endpoint.id, startedAt) }
             ?: first?.let { context.directory.onSuccess(it.id, startedAt) }
-        exchange.writeChunk(event)
         watchAttempt(context.times.eventTimeout, ::onStalled)
     }
 
@@ -293,7 +277,7 @@
 
     private fun onStreamEnded(first: RelayEndpoint) {
         val current = checkNotNull(head)
-        if (framer.hasPartialEvent) {
+        if (reader.hasPartialEvent) {
             onBrokenOff(current, first, "event_cut")
             return
         }
