Order registrations by the store's revision instead of by their start

Cause: EndpointDirectory took the registration with the smaller start for the older one. The start is the time of day of the endpoint's machine. An endpoint that restarts under its id after its clock was set back has a smaller start than its former process, so its registrations were ignored for as long as the entry existed, also the one that says that it leaves. In the same way the former process of an address was preferred to the current one with another id.

Change: the revision decides which of two registrations of an id is the newer one; the start only tells processes apart. Of several processes at one address the one that registered last is used. Registrations of one revision are ordered by start as before, which is what platforms without revisions have.

Why it works: the store has one counter of revisions for all entries, so its order does not depend on a clock. A list or a replayed watch that is older than what is known is recognized by its revision, which was not so before: it could restore an entry. Other uses of the start compare for equality only (placement, shared refusals, lost connections, harmful requests). The age of crash news in the store is the only other difference between clocks of machines; it is bounded below by zero and used for a lifetime of 30 min.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.relay
 
+import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.time.Timestamp
@@ -42,11 +43,14 @@
  * [DirectorySettings.renewalTimeout] after the store's return. If the store has confirmed the registration since its
  * return, the endpoint may as well have left, so it stays in use for [DirectorySettings.removalTimeout] at most.
  *
- * Of several registrations at one address only the last started process can answer, so the others are not used even if
- * they are still registered. An endpoint that leaves receives no more requests, whether its registration or one of its
- * answers says so. Failures and refusals put an endpoint into an exponential backoff. Progress of a request
- * that was sent before a refusal does not end the refusal's backoff, since an endpoint that leaves finishes its earlier
- * requests, too. An endpoint that asks for a pause receives nothing until its end, whatever happens meanwhile.
+ * The revisions of the store order registrations. The start of a process only tells it apart from others, since clocks
+ * of endpoints differ and may be set back. Of several processes at one address only the one that registered last can
+ * answer, so the others are not used even if they are still registered.
+ *
+ * An endpoint that leaves receives no more requests, whether its registration or one of its answers says so. Failures
+ * and refusals put an endpoint into an exponential backoff. Progress of a request that was sent before a refusal does
+ * not end the refusal's backoff, since an endpoint that leaves finishes its earlier requests, too. An endpoint that
+ * asks for a pause receives nothing until its end, whatever happens meanwhile.
  */
 public class EndpointDirectory(
     private val settings: DirectorySettings = DirectorySettings(),
@@ -54,6 +58,8 @@
     private inner class Entry(
         var endpoint: RelayEndpoint,
     ) {
+        /** The first known revision of this process's registration. */
+        val registeredAt: Revision = endpoint.revision
         var lapsedUntil: Timestamp? = null
         val failureBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxFailureBackoff)
         val refusalBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxRefusalBackoff)
@@ -103,13 +109,17 @@
         return changes
     }
 
-    /** Adds or updates the registration of [endpoint]; one of an earlier process with the same id is ignored. */
+    /**
+     * Adds or updates the registration of [endpoint]; one that is older than the known one is ignored.
+     *
+     * Registrations of one revision, such as those of a platform without revisions, are ordered by start.
+     */
     public fun put(endpoint: RelayEndpoint): RegistrationChange {
         val known = entries[endpoint.id]
         if (known != null && known.endpoint == endpoint && known.lapsedUntil == null) return RegistrationChange.NONE
-        if (known != null && endpoint.startedAt < known.endpoint.startedAt) return RegistrationChange.IGNORED
+        if (known != null && REGISTRATION_ORDER.compare(endpoint, known.endpoint) < 0) return RegistrationChange.IGNORED
         entriesByService = null
-        if (known == null || endpoint.startedAt > known.endpoint.startedAt) {
+        if (known == null || endpoint.startedAt != known.endpoint.startedAt) {
             entries[endpoint.id] = Entry(endpoint)
             return RegistrationChange.ADDED
         }
@@ -288,11 +298,11 @@
         return !entry.endpoint.isLeaving && !entry.isPaused(now) && entry.lapsedUntil?.let { now < it } != false
     }
 
-    /** Returns the registered endpoint at [address], or null; if there are several, the one that started last. */
+    /** Returns the registered endpoint at [address], or null; if there are several, the one that registered last. */
     public fun findByAddress(address: String): RelayEndpoint? =
         entries.values
             .filter { it.endpoint.address == address }
-            .maxByOrNull { it.endpoint.startedAt }
+            .maxWithOrNull(PROCESS_ORDER)
             ?.endpoint
 
     /** Returns the registered endpoints of [service], including those that leave or are in a backoff. */
@@ -333,11 +343,17 @@
             .groupBy { it.endpoint.address }
             .values
             .flatMap { sharing ->
-                val lastStart = sharing.maxOf { it.endpoint.startedAt }
-                sharing.filter { it.endpoint.startedAt == lastStart }
+                val last = sharing.maxWith(PROCESS_ORDER)
+                sharing.filter { PROCESS_ORDER.compare(it, last) == 0 }
             }.groupBy { it.endpoint.service }
 
     private companion object {
         val FAR_FUTURE = Timestamp(Long.MAX_VALUE)
+
+        /** Orders the registrations of one id. */
+        val REGISTRATION_ORDER = compareBy<RelayEndpoint>({ it.revision }, { it.startedAt })
+
+        /** Orders processes by their first registrations; later ones may be delayed writes of a process that ended. */
+        val PROCESS_ORDER = compareBy<Entry>({ it.registeredAt }, { it.endpoint.startedAt })
     }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/LeavingEndpointTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/LeavingEndpointTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.relay.RouteKind
 import strikt.api.expectThat
@@ -108,6 +109,22 @@
         repeat(2) { expectThat(relay.call().status).isEqualTo(200) }
     }
 
+    // Its registrations were ignored, since its clock had been set back between the starts of its processes.
+    @Test
+    fun `guards against sending to an endpoint that leaves after a restart with an earlier start`() {
+        val restarted = endpoint("e1") { request, _ -> write(answer(request)) }
+        val other = endpoint("e2") { request, _ -> write(answer(request)) }
+        val former = restarted.registration().copy(startedAt = 2_000, revision = Revision(1))
+        val current = former.copy(startedAt = 500, revision = Revision(2))
+        relay.configure(RelayFixture.route(RouteKind.NON_IDEMPOTENT))
+        for (registration in listOf(former, current, current.copy(isLeaving = true, revision = Revision(3)))) {
+            relay.register(registration, other.registration())
+        }
+        repeat(4) { expectThat(relay.call().status).isEqualTo(200) }
+
+        expectThat(restarted.requests).hasSize(0)
+    }
+
     private companion object {
         const val LEAVING = "Leaving: 1\r\n"
     }
