Bound the memory of all answers that wait for more bytes

Cause: each connection was bounded by itself, and the limits added up to more than the heap of a deployment (96 MB). A partial event took up to 512 KB for each stream. A head or trailer of 64 KB in fields of four bytes takes some thirty times its bytes, and trailers were held by each connection in the same way. The bound on collected bodies counted their bytes, but not the memory that growing arrays take for them.

Evidence: EndlessAnswerMemoryTest runs the program with the heap of the deployment, with 300 connections at once.

Change: partial events and collected bodies take the memory of their arrays, above 4 KB each, from one quota of 24 MB for all calls. A run or a call for which nothing is left ends as one with too large an answer. Heads and trailers have at most 256 fields, and heads at most 32 KB, half as much as before.

Why it works: the memory for unfinished answers does not depend on the number of connections any more, and on a connection the rest is bounded in bytes and fields.

Sound answers that together take more than the quota at once are cut as before, with the growth of the arrays counted now.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EventFramer.kt
@@ -14,26 +14,31 @@
 
 /** Splits an event stream into complete events and buffers the bytes after the last blank line. */
 public class EventFramer(
-    /** The most bytes of one event, from which [isOversized] is set. */
-    private val maxEventBytes: Int = 256 * 1024,
+    /** The most bytes that are buffered: a partial event with those that arrive next. */
+    maxEventBytes: Int = 256 * 1024,
+    /** Bounds the partial events of several streams. */
+    quota: ByteQuota = ByteQuota(Int.MAX_VALUE),
 ) {
-    private var buffer = ByteArray(INITIAL_CAPACITY)
-    private var size = 0
+    private val pending = GrowingBuffer(quota, maxEventBytes)
+    private val buffer get() = pending.array
+    private val size get() = pending.size
 
     /** The position up to which the buffer is known not to end an event. */
     private var scanned = 0
 
-    /** Whether the buffered part of an event exceeds the limit; such a stream cannot continue. */
-    public val isOversized: Boolean get() = size > maxEventBytes
+    /** Whether an event exceeds the limits, so that the stream cannot continue. */
+    public var isOversized: Boolean = false
+        private set
 
     /** Whether an event is buffered that is not complete yet. */
     public val hasPartialEvent: Boolean get() = size > 0
 
     /** Appends [bytes] and returns the events that they complete; consecutive comments are one event. */
     public fun feed(bytes: ByteArray): List<FramedEvent> {
-        if (size + bytes.size > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, size + bytes.size))
-        bytes.copyInto(buffer, size)
-        size += bytes.size
+        if (isOversized || !pending.append(bytes)) {
+            isOversized = true
+            return emptyList()
+        }
         val events = ArrayList<FramedEvent>()
         var commentStart = 0
         var start = 0
@@ -53,22 +58,17 @@
             start = position
         }
         if (commentStart < start) events += comment(commentStart, start)
-        discard(start)
+        pending.discard(start)
         // A line break at the very end may be the first half of the end of an event.
         scanned = maxOf(0, size - MAX_EVENT_END)
         return events
     }
 
-    private fun discard(bytes: Int) {
-        if (bytes == 0) return
-        buffer.copyInto(buffer, 0, bytes, size)
-        size -= bytes
-    }
-
-    /** Discards a partial event; must be called before bytes of another answer are fed. */
+    /** Discards a partial event; must be called before bytes of another answer are fed, and at the end of the last. */
     public fun reset() {
-        size = 0
+        pending.clear()
         scanned = 0
+        isOversized = false
     }
 
     /** Returns the length of the line break and blank line at [position] that end an event, or 0 if there is none. */
@@ -114,7 +114,6 @@
     }
 
     private companion object {
-        const val INITIAL_CAPACITY = 1024
         const val ID_FIELD = "id:"
         const val COMMENT = ':'
         const val COMMENT_BYTE = COMMENT.code.toByte()
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/StreamReader.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/StreamReader.kt
@@ -8,7 +8,7 @@
     /** The next event does not continue the stream. */
     EVENT_MISSING,
 
-    /** An event has too many bytes. */
+    /** An event has too many bytes, or more than there is memory for. */
     ANSWER_TOO_LARGE,
 
     /** The endpoint goes on sending, but nothing that continues the stream. */
@@ -27,7 +27,7 @@
 
 /** The limits of [StreamReader] on what an endpoint sends between two events that continue the stream. */
 public data class StreamReaderSettings(
-    /** The most bytes of one event, complete or not. */
+    /** The most bytes of a partial event with those that arrive next. */
     public val maxEventBytes: Int = 256 * 1024,
     /** The most bytes of comments and repeated events. */
     public val maxSkippedBytes: Int = 256 * 1024,
@@ -44,8 +44,10 @@
 public class StreamReader(
     private val position: StreamPosition,
     private val settings: StreamReaderSettings = StreamReaderSettings(),
+    /** Bounds the partial events of several streams. */
+    quota: ByteQuota = ByteQuota(Int.MAX_VALUE),
 ) {
-    private val framer = EventFramer(settings.maxEventBytes)
+    private val framer = EventFramer(settings.maxEventBytes, quota)
     private var skippedBytes = 0
     private var skippedEvents = 0
 
@@ -64,6 +66,9 @@
         if (isResumed) position.onResumed()
     }
 
+    /** Discards a partial event, which no further bytes will complete. */
+    public fun onRunEnded(): Unit = framer.reset()
+
     /** Returns what [bytes] of the current run add to the stream; must not be called after a fault of the run. */
     public fun read(bytes: ByteArray): StreamPart {
         val accepted = ArrayList<ByteArray>()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import oriolespindle.core.relay.ByteQuota
+import oriolespindle.core.relay.GrowingBuffer
 import oriolespindle.router.runtime.monotonicNow
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -26,11 +28,15 @@
  *
  * @property maxIdle how long an idle connection stays in the pool.
  * @property maxIdlePerAddress how many idle connections the pool keeps for each address.
+ * @property maxAnswerBytes the most bytes of an answer that is collected; twice the default limit of request bodies.
+ * @property maxBufferedBytes the most memory of all answers that are collected and of partial events.
  */
 public data class HttpClientSettings(
     public val connectTimeout: Duration = 1.seconds,
     public val maxIdle: Duration = 20.seconds,
     public val maxIdlePerAddress: Int = 32,
+    public val maxAnswerBytes: Int = 8 * 1024 * 1024,
+    public val maxBufferedBytes: Int = 24 * 1024 * 1024,
 )
 
 /** Sends HTTP/1.1 requests over pooled connections, one request at a time on each connection. */
@@ -40,8 +46,8 @@
 ) {
     private val pool = ConnectionPool(settings.maxIdle, settings.maxIdlePerAddress)
 
-    /** Bounds the answers that calls of this client collect before they are complete. */
-    public val buffers: AnswerBufferQuota = AnswerBufferQuota()
+    /** Bounds the parts of all answers of this client that wait for more bytes. */
+    public val buffers: ByteQuota = ByteQuota(settings.maxBufferedBytes)
 
     /** Sends [request] and passes the events of the call to [listener]; a null [timeout] means no time limit. */
     public fun send(
@@ -73,13 +79,16 @@
         return call
     }
 
+    /** Returns a buffer for the body of one answer that is used only when it is complete. */
+    public fun newAnswerBuffer(): GrowingBuffer = GrowingBuffer(buffers, settings.maxAnswerBytes)
+
     /** Sends [request] and collects the complete response; [result] is called once, on an event loop thread. */
     public fun call(
         request: ClientRequest,
         timeout: Duration,
         result: (HttpOutcome) -> Unit,
     ) {
-        val body = AnswerBuffer(buffers)
+        val body = newAnswerBuffer()
         var status = 0
         var isOversized = false
         var call: ClientCall? = null
@@ -91,10 +100,9 @@
                     }
 
                     is ClientEvent.Data -> {
-                        if (!isOversized && !body.append(event.bytes)) {
-                            isOversized = true
-                            call?.cancel()
-                        }
+                        if (!isOversized) isOversized = !body.append(event.bytes)
+                        // The first events may arrive before the call is known here.
+                        if (isOversized) call?.cancel()
                     }
 
                     is ClientEvent.End -> {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -10,7 +10,7 @@
 import oriolespindle.router.logging.EventLog
 
 /** Decodes the responses of one connection and detects bytes that belong to none of them. */
-internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)) {
+internal class ResponseDecoder : HttpResponseDecoder(decoderConfig()) {
     private var isInputEnded = false
 
     /** Whether bytes that follow the last decoded response are buffered. */
@@ -56,6 +56,12 @@
 
     private companion object {
         /** Bounds memory; it is not meant to restrict the headers that endpoints add to their responses. */
-        const val MAX_HEADER_BYTES = 65_536
+        const val MAX_HEADER_BYTES = 32 * 1024
+
+        fun decoderConfig(): HttpDecoderConfig =
+            HttpDecoderConfig()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setHeadersFactory(BoundedHeadersFactory())
+                .setTrailersFactory(BoundedHeadersFactory())
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -5,7 +5,6 @@
 import oriolespindle.core.relay.RelayEndpoint
 import oriolespindle.core.relay.RouteKind
 import oriolespindle.core.time.Timestamp
-import oriolespindle.router.http.AnswerBuffer
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.runtime.monotonicNow
 
@@ -14,7 +13,7 @@
     context: RelayContext,
     request: RelayRequest,
 ) : RelaySession(context, request) {
-    private val body = AnswerBuffer(context.http.buffers)
+    private val body = context.http.newAnswerBuffer()
     private var head: ClientEvent.Head? = null
     private var endpoint: RelayEndpoint? = null
     private var startedAt = Timestamp.ZERO
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -10,7 +10,6 @@
 import oriolespindle.core.relay.StreamPosition
 import oriolespindle.core.relay.StreamReader
 import oriolespindle.core.time.Timestamp
-import oriolespindle.router.http.AnswerBuffer
 import oriolespindle.router.http.ClientEvent
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
@@ -28,8 +27,8 @@
     private val model: ModelLayout?,
 ) : RelaySession(context, request) {
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
-    private val reader = StreamReader(position)
-    private val failureBody = AnswerBuffer(context.http.buffers)
+    private val reader = StreamReader(position, quota = context.http.buffers)
+    private val failureBody = context.http.newAnswerBuffer()
     private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
@@ -141,6 +140,7 @@
         path?.let { context.load.onRequestEnded(it, tokens) }
         path = null
         failureBody.clear()
+        reader.onRunEnded()
         first?.let { context.concurrency.onStreamEnded(monotonicNow(), it.id) }
         context.streams -= this
         first = null
