Bound the answers of plain services that the product's own front end collects

Callers would see: an instance of the product's own front end that runs out of memory while one plain service sends an answer without end; nothing counted the bytes of such an answer, and only the timeout of the call ended it. The watch of the platform's objects read the body of a failure without end, and no other watch was begun meanwhile.

Cause: ServiceSender collected answers in an unbounded buffer. Watch ignored the bytes of an answer with another status than 200, and has no timeout.

Evidence: by reading; the collector was private before, so that its test cannot be compiled against. Watch has no test of its own for this.

Change: AnswerCollector uses the bounded buffer of the client, and the call is cancelled once its answer is too large; its result is the same as that of a lost answer, since the call may have run. A failed watch is closed with the first byte of its body.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/Watch.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/platform/Watch.kt
@@ -28,7 +28,10 @@
     private fun onEvent(event: ClientEvent): Boolean {
         when (event) {
             is ClientEvent.Head -> isAccepted = event.status == STATUS_OK
-            is ClientEvent.Data -> if (isAccepted) feed(event.bytes)
+
+            // The body of a failure may have no end.
+            is ClientEvent.Data -> if (isAccepted) feed(event.bytes) else close()
+
             is ClientEvent.End, is ClientEvent.Failed -> onLine(null)
         }
         return true
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/request/ServiceSender.kt
@@ -3,11 +3,9 @@
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.directory.ServiceEndpoint
-import oriolespindle.router.http.ClientEvent
+import oriolespindle.router.http.ClientCall
 import oriolespindle.router.http.ClientRequest
-import oriolespindle.router.http.FailureKind
 import oriolespindle.router.http.ServerExchange
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
 /** The result of sending a call to one endpoint of a plain service. */
@@ -81,7 +79,7 @@
         onResult: (ServiceResult) -> Unit,
     ) {
         inFlight.merge(server.id, 1, Int::plus)
-        val answer = AnswerCollector()
+        val answer = AnswerCollector(context.http.newAnswerBuffer())
         val request =
             ClientRequest(
                 address = server.address,
@@ -93,11 +91,15 @@
                 freshConnection = limits.freshConnection,
                 notAfter = limits.notAfter,
             )
-        context.http.send(request, limits.timeout) { event ->
-            val end = answer.handle(event)
-            if (end != null) context.continueWith { onCallEnded(server, end, onResult) }
-            true
-        }
+        var sent: ClientCall? = null
+        sent =
+            context.http.send(request, limits.timeout) { event ->
+                val end = answer.handle(event)
+                if (end != null) context.continueWith { onCallEnded(server, end, onResult) }
+                // The first events may arrive before the call is known here.
+                if (end == null && answer.isOversized) sent?.cancel()
+                true
+            }
     }
 
     private fun onCallEnded(
@@ -117,37 +119,3 @@
     val freshConnection: Boolean,
     val notAfter: Timestamp? = null,
 )
-
-/** Collects the events of an endpoint's answer into one result. */
-private class AnswerCollector {
-    private val body = ByteArrayOutputStream()
-    private var head: ClientEvent.Head? = null
-
-    fun handle(event: ClientEvent): ServiceResult? {
-        when (event) {
-            is ClientEvent.Head -> head = event
-            is ClientEvent.Data -> body.writeBytes(event.bytes)
-            is ClientEvent.End -> return complete(checkNotNull(head) { "an answer ended before its head" })
-            is ClientEvent.Failed -> return failed(event)
-        }
-        return null
-    }
-
-    private fun complete(head: ClientEvent.Head): ServiceResult {
-        val notRun = head.status == STATUS_UNAVAILABLE && head.headers[Answers.OUTCOME_HEADER] in NOT_RUN_VALUES
-        if (notRun) return ServiceResult.NotRun(head.headers["Retry-After"]?.toLongOrNull())
-        return ServiceResult.Answered(head.status, body.toByteArray(), head.headers["Content-Type"])
-    }
-
-    private fun failed(event: ClientEvent.Failed): ServiceResult =
-        if (event.sent) {
-            ServiceResult.Lost(event.kind == FailureKind.TIMEOUT)
-        } else {
-            ServiceResult.NotSent
-        }
-
-    private companion object {
-        const val STATUS_UNAVAILABLE = 503
-        val NOT_RUN_VALUES = setOf("not-run", "not_run")
-    }
-}
