Bound the memory of the bodies of all requests

Cause: RequestAssembler bounded one body, not all, kept the memory of the largest body of each connection, and copied each body once more. Heads were bounded in bytes, but short fields take some thirty times their bytes.

Evidence: EndlessAnswerMemoryTest, "bodies of requests without end" on: OutOfMemoryError (one run). Its heads of requests passed there.

Change: the bodies of all connections of a listener that are received or in progress share 16 MB, above 4 KB each. A request for whose body nothing is left is refused at once with 503, Retry-After 1 and not_run, which is true since nothing was sent; with a known length that is before its body is read, so that those that are accepted fit. Small requests do not depend on the quota. The memory is released when the answer is complete or the connection has closed. Heads and trailers of requests have at most 256 fields.

Why it works: what all bodies hold does not depend on the number of callers.

After: EndlessRequestTest passes, and EndlessAnswerMemoryTest did before lengths were reserved (one run each).

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.ssl.SslContext
 import io.netty.util.concurrent.GlobalEventExecutor
 import oriolespindle.core.contract.ContractCodec
+import oriolespindle.core.relay.ByteQuota
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -34,6 +35,8 @@
     @Volatile var settings: HttpServerSettings = HttpServerSettings(),
     private val tls: SslContext? = null,
     private val observer: ConnectionObserver = ConnectionObserver.None,
+    /** The memory for the bodies of all requests that are received or in progress. */
+    private val bodies: ByteQuota = ByteQuota(MAX_BUFFERED_BYTES),
     private val handler: (ServerExchange) -> Unit,
 ) {
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
@@ -105,13 +108,15 @@
                 HttpDecoderConfig()
                     .setMaxHeaderSize(settings.maxHeaderBytes)
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                    .setHeadersFactory(BoundedHeadersFactory())
+                    .setTrailersFactory(BoundedHeadersFactory())
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 // A server may send an answer in many tiny parts; those of one iteration of the loop share a flush.
                 FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true),
                 newTimeoutHandler(),
                 HttpServerCodec(config),
-                RequestAssembler { settings.maxBodyBytes },
+                RequestAssembler(bodies) { settings.maxBodyBytes },
                 ServerExchangeHandler({ closing }, handler),
             )
         }
@@ -129,6 +134,7 @@
 
         /** Several iterations of an idle event loop, each of which accepts the connections that are waiting. */
         const val ACCEPT_DRAIN_MILLIS = 20L
+        const val MAX_BUFFERED_BYTES = 16 * 1024 * 1024
         const val LOW_MARK = 16 * 1024
         const val HIGH_MARK = 64 * 1024
         const val MAX_INITIAL_LINE_BYTES = 8 * 1024
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
@@ -14,7 +14,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
+import oriolespindle.core.relay.ByteQuota
+import oriolespindle.core.relay.GrowingBuffer
+import oriolespindle.router.logging.EventLog
 
 /** A request of a connection, in the order of arrival. */
 internal sealed interface ReceivedRequest
@@ -22,8 +24,13 @@
 /** A request with its complete body. */
 internal class AssembledRequest(
     val head: HttpRequest,
-    val body: ByteArray,
-) : ReceivedRequest
+    private val buffer: GrowingBuffer,
+) : ReceivedRequest {
+    val body: ByteArray = buffer.trim()
+
+    /** Must be called once the request is no longer in progress. */
+    fun release() = buffer.clear()
+}
 
 /** A request that is answered with [answer] in its turn, after which the connection is closed. */
 internal class RejectedRequest(
@@ -33,14 +40,17 @@
 /**
  * Aggregates each request with its body, which may have as many bytes as [maxBodyBytes] returns.
  *
+ * The bodies of all connections share [quota]; a request for whose body nothing is left is refused as not run.
+ *
  * A malformed request, or one whose framing two parties could interpret differently, is rejected and its connection
  * closed, so that no later bytes of that connection are parsed as a request. This prevents request smuggling.
  */
 internal class RequestAssembler(
+    private val quota: ByteQuota,
     private val maxBodyBytes: () -> Int,
 ) : ChannelInboundHandlerAdapter() {
     private var head: HttpRequest? = null
-    private val body = ByteArrayOutputStream()
+    private var body = newBody()
     private var rejected = false
 
     override fun channelRead(
@@ -82,7 +92,12 @@
             rejectTooLarge(ctx)
         } else {
             head = request
-            body.reset()
+            body = newBody()
+            // A body whose length is known is refused before it is read, so that those that are accepted fit.
+            if (!body.reserve(length.toInt())) {
+                rejectWithoutMemory(ctx)
+                return
+            }
             if (HttpUtil.is100ContinueExpected(request)) ctx.writeAndFlush(continueResponse())
         }
     }
@@ -91,19 +106,35 @@
         ctx: ChannelHandlerContext,
         content: HttpContent,
     ) {
-        val bytes = content.content()
-        if (body.size() + bytes.readableBytes() > maxBodyBytes()) {
+        val bytes = ByteArray(content.content().readableBytes())
+        if (bytes.size > maxBodyBytes() - body.size) {
             rejectTooLarge(ctx)
             return
         }
-        bytes.readBytes(body, bytes.readableBytes())
+        content.content().readBytes(bytes)
+        if (!body.append(bytes)) rejectWithoutMemory(ctx)
     }
 
     private fun complete(ctx: ChannelHandlerContext) {
         val request = checkNotNull(head) { "end of a request body without a request head" }
+        val received = AssembledRequest(request, body)
         head = null
-        ctx.fireChannelRead(AssembledRequest(request, body.toByteArray()))
-        body.reset()
+        body = newBody()
+        ctx.fireChannelRead(received)
+    }
+
+    private fun newBody() = GrowingBuffer(quota, maxBodyBytes())
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        body.clear()
+        ctx.fireChannelInactive()
+    }
+
+    private fun rejectWithoutMemory(ctx: ChannelHandlerContext) {
+        EventLog.warn("request refused: no memory for its body", "path" to head?.uri(), "bytes" to body.size)
+        val message = "too many bodies are received at once"
+        val retryAfter = "Retry-After" to RETRY_AFTER_SECONDS
+        reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "overloaded", message, retryAfter)
     }
 
     private fun rejectTooLarge(ctx: ChannelHandlerContext) {
@@ -116,15 +147,20 @@
         status: HttpResponseStatus,
         reason: String,
         message: String,
+        vararg more: Pair<String, String>,
     ) {
         rejected = true
-        body.reset()
+        body.clear()
         val text = """{"error":{"outcome":"not_run","reason":"$reason","message":"$message"}}"""
-        val headers = listOf("Oriolespindle-Outcome" to "not_run")
+        val headers = listOf("Oriolespindle-Outcome" to "not_run", *more)
         // The answers to earlier requests come first; a caller would take this one for theirs.
         ctx.fireChannelRead(RejectedRequest(HttpAnswer.json(status.code(), text, headers)))
     }
 
     private fun continueResponse(): FullHttpResponse =
         DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+
+    private companion object {
+        const val RETRY_AFTER_SECONDS = "1"
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ServerExchange.kt
@@ -51,7 +51,7 @@
 /** A request and the functions that respond to it, which may be called from any thread. */
 internal class ServerExchange(
     private val ctx: ChannelHandlerContext,
-    request: AssembledRequest,
+    private val request: AssembledRequest,
     private val connection: RequestTimeoutHandler,
     private val isClosing: () -> Boolean,
     private val onEnd: () -> Unit,
@@ -193,7 +193,10 @@
 
     private fun end(): Boolean {
         val first = ended.compareAndSet(false, true)
-        if (first) answeredAction.getAndSet(null)?.invoke()
+        if (first) {
+            request.release()
+            answeredAction.getAndSet(null)?.invoke()
+        }
         return first
     }
 
@@ -323,6 +326,7 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        waiting.forEach { (it as? AssembledRequest)?.release() }
         waiting.clear()
         current?.onConnectionClosed()
         current = null
