Test that fast sound streams do not hold up other requests

Four streams of 20,000 events each, written as fast as loopback allows, come through whole, and the readiness listener is silent for less than half a second.

--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/EndlessStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/EndlessStreamTest.kt
@@ -112,6 +112,26 @@
     @Test
     fun `guards against an event without end in chunks of one byte`() = expectResumed("x")
 
+    @Test
+    fun `guards against fast sound streams that hold up all other requests`() {
+        val engine =
+            endpoint("e1") { request, _ ->
+                write(Scripts.streamHead(request))
+                (1..FAST_EVENTS).chunked(EVENTS_PER_WRITE).forEach { ids ->
+                    write(ids.joinToString("") { Scripts.chunk(Scripts.event(it)) })
+                }
+                write(Scripts.LAST_CHUNK)
+            }
+        serve(engine)
+        expectThat(relay.call().isComplete && relay.isReady()).isTrue()
+        val answers = ArrayList<RawAnswer>()
+        val callers = List(STREAMS) { thread { relay.call().let { synchronized(answers) { answers += it } } } }
+        val silence = longestSilence { callers.any { it.isAlive } }
+
+        expectThat(silence).isLessThan(MAX_SILENCE)
+        expectThat(answers.count { it.isComplete && "data: event $FAST_EVENTS\n" in it.body }).isEqualTo(STREAMS)
+    }
+
     @Test
     fun `guards against ending a sound stream that sends a comment every 50 ms to a slow reader`() {
         val engine =
@@ -145,6 +165,8 @@
 
         /** A call that is late by more than half a second counts as unanswered. */
         val MAX_SILENCE = 500.milliseconds
+        const val FAST_EVENTS = 20_000
+        const val EVENTS_PER_WRITE = 500
         const val COMMENTS = 8
         const val COMMENT_INTERVAL_MILLIS = 50L
     }
