Recognize the end of an endpoint however its attempts broke off

Callers saw endpoints end one after the other under one request, or under one part of prompts, that was sent again and again. Only a lost connection made an instance ask whether its endpoint had ended. A last answer that makes no sense (MALFORMED, or one that is not the endpoint's), a silence, a deadline, a caller that left and an engine behind the first of a path all went past EndpointLosses, so HarmfulRequestGuard never learned of these ends.

BrokenAttempts remembers every attempt that was sent and had no whole answer, by process. EndpointLosses asks at once, and again after 0.2 s and 1 s, whether the address takes connections where an answer broke off or made no sense. Any other end shows when the registration is removed or another process takes the address. A process that sends something later has not ended; an attempt that was sent to one already silent is not the cause. Until the platform decides, a silent process that answers no connection counts for 6 s, and only against what was never answered anywhere; instances tell each other of such silences as well, since registrations are removed seconds after a silent end.

Its test of an endpoint that ends a moment after its last bytes now runs the request for 80 ms first, since ends within 50 ms count as one.

CutAnswerTest gives each case a body of its own. With one body for all, its answers break off at endpoints that are closed right afterwards, which is what a request that ends endpoints looks like; what it checks is unchanged.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashNews.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashNews.kt
@@ -18,6 +18,8 @@
     public val unanswered: List<Set<RequestTrait>>,
     /** The time from the end of the process to this report, in milliseconds. */
     public val ageMillis: Long = 0,
+    /** Whether the process has certainly ended; otherwise it is silent and may only be out of reach. */
+    public val isConfirmed: Boolean = true,
 )
 
 /** What an instance tells the others about ends of endpoints; reports may arrive repeatedly and in any order. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -17,6 +17,10 @@
  * were in all its requests; so what sound requests share with harmful ones is not rejected by itself. A trait of which
  * requests were answered before is rejected only after more ends that no other rejection explains.
  *
+ * A process that is silent and out of reach counts as ended for a short time, unless it sends something or its end is
+ * confirmed. Such ends count only against traits of which no request was ever answered, since an instance that is cut
+ * off from many endpoints must not reject what others serve.
+ *
  * Each instance decides alone, by the reports of all. Confined to one thread.
  */
 public class HarmfulRequestGuard(
@@ -26,6 +30,7 @@
         val process: EndpointProcess,
         val at: Timestamp,
     ) {
+        var isConfirmed = false
         val requests = LinkedHashSet<Set<RequestTrait>>()
 
         fun isExplainedBy(rejections: Collection<Set<RequestTrait>>): Boolean =
@@ -87,16 +92,34 @@
         return suspected
     }
 
-    /** Records the end of [process], which had not begun to answer the requests with the traits in [unanswered]. */
+    /** Records the end of [process] at [at], which had not begun to answer requests with the traits in [unanswered]. */
     public fun onCrash(
-        now: Timestamp,
+        at: Timestamp,
+        process: EndpointProcess,
+        unanswered: List<Set<RequestTrait>>,
+    ) {
+        record(at, CrashReport(process, unanswered))
+        judge()
+    }
+
+    /** Records that [process] has been silent and out of reach since [at]; see [onCrash]. */
+    public fun onSilent(
+        at: Timestamp,
         process: EndpointProcess,
         unanswered: List<Set<RequestTrait>>,
     ) {
-        record(now, CrashReport(process, unanswered))
+        record(at, CrashReport(process, unanswered, isConfirmed = false))
         judge()
     }
 
+    /** Returns whether [process] is known as silent and out of reach, and is not known to have ended. */
+    public fun isSilent(process: EndpointProcess): Boolean = crashes[process]?.isConfirmed == false
+
+    /** Records that [process] has sent something, so that its silence was not its end. */
+    public fun onSignOfLife(process: EndpointProcess) {
+        if (isSilent(process)) forget(listOf(process))
+    }
+
     /** Merges the [news] of another instance; returns the suspected traits of which only this one knows answers. */
     public fun merge(
         now: Timestamp,
@@ -117,9 +140,9 @@
         judge()
     }
 
-    /** Drops what is older than [HarmfulRequestSettings.retention]. */
+    /** Drops what is older than [HarmfulRequestSettings.retention], and silences that were not confirmed. */
     public fun expire(now: Timestamp) {
-        if (!crashes.values.removeIf { now - it.at > settings.retention }) return
+        if (!crashes.values.removeIf { now - it.at > retention(it.isConfirmed) }) return
         onCrashesRemoved()
         judge()
     }
@@ -138,11 +161,14 @@
             crashes.values.mapNotNull { crash ->
                 val requests = crash.requests.filter { request -> request.any { it in repeated } }
                 val age = (now - crash.at).inWholeMilliseconds
-                CrashReport(crash.process, requests, age).takeIf { requests.isNotEmpty() }
+                CrashReport(crash.process, requests, age, crash.isConfirmed).takeIf { requests.isNotEmpty() }
             }
         return CrashNews(reports, known(reports.flatMap { it.unanswered.flatten() }))
     }
 
+    private fun retention(isConfirmed: Boolean): Duration =
+        if (isConfirmed) settings.retention else settings.silenceRetention
+
     private fun isRepeated(trait: RequestTrait): Boolean =
         trait !in answeredAt && countMoments(suspectedAt(trait)) >= MIN_REPEATED
 
@@ -151,8 +177,9 @@
         report: CrashReport,
     ) {
         val at = now - report.ageMillis.coerceAtLeast(0).milliseconds
-        if (now - at > settings.retention) return
+        if (now - at > retention(report.isConfirmed)) return
         val crash = crashes.getOrPut(report.process) { Crash(report.process, at) }
+        crash.isConfirmed = crash.isConfirmed || report.isConfirmed
         val room = settings.maxRequestsPerCrash - crash.requests.size
         for (request in report.unanswered.filter { it !in crash.requests }.take(maxOf(room, 0))) {
             crash.requests += request
@@ -193,7 +220,7 @@
             repeated
                 .filter { it in answeredAt }
                 .filter { trait ->
-                    val unexplained = suspectedAt(trait).filterNot { it.isExplainedBy(found) }
+                    val unexplained = suspectedAt(trait).filter { it.isConfirmed && !it.isExplainedBy(found) }
                     countMoments(unexplained) >= settings.maxCrashesOfKnown
                 }
         found += known.map(::setOf)
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /** The settings of [HarmfulRequestGuard]. */
 public data class HarmfulRequestSettings(
@@ -19,6 +20,8 @@
     public val simultaneousWindow: Duration = 50.milliseconds,
     /** How long an end of an endpoint counts, and thereby how long requests are rejected after the last one. */
     public val retention: Duration = 30.minutes,
+    /** How long a silence counts as an end; the platform removes the registration of a process that ended sooner. */
+    public val silenceRetention: Duration = 6.seconds,
     /** The most ends of endpoints that are remembered; those that a rejection rests on are never dropped. */
     public val maxRecordedCrashes: Int = 256,
     /** The most unanswered requests that are remembered for one end of an endpoint. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -298,6 +298,20 @@
         return !entry.endpoint.isLeaving && !entry.isPaused(now) && entry.lapsedUntil?.let { now < it } != false
     }
 
+    /** Returns what the registrations tell about this process of [endpoint]. */
+    public fun registrationState(
+        now: Timestamp,
+        endpoint: RelayEndpoint,
+    ): RegistrationState {
+        val entry = entryOf(endpoint)
+        return when {
+            entry == null || entry.lapsedUntil?.let { now >= it } == true -> RegistrationState.GONE
+            entry.endpoint.isLeaving -> RegistrationState.LEAVING
+            findByAddress(endpoint.address)?.id != endpoint.id -> RegistrationState.GONE
+            else -> RegistrationState.IN_USE
+        }
+    }
+
     /** Returns the registered endpoint at [address], or null; if there are several, the one that registered last. */
     public fun findByAddress(address: String): RelayEndpoint? =
         entries.values
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/relay/EndpointDirectoryTest.kt
@@ -203,4 +203,34 @@
 
         expectThat(directory.findByAddress("10.0.0.1:80")?.id?.value).isEqualTo("new")
     }
+
+    @Test
+    fun `tells processes that are gone from those that leave and those that may only have lapsed`() {
+        val process = endpoint("a")
+        val state = { at: Timestamp -> directory.registrationState(at, process) }
+        expectThat(state(start)).isEqualTo(RegistrationState.GONE)
+        directory.put(process)
+        expectThat(state(start)).isEqualTo(RegistrationState.IN_USE)
+        directory.onStoreLost()
+        directory.remove(start, process.id)
+        expectThat(state(start + 9.seconds)).isEqualTo(RegistrationState.IN_USE)
+        directory.onStoreRecovered(start + 9.seconds)
+        expectThat(state(start + 11.seconds)).isEqualTo(RegistrationState.IN_USE)
+        expectThat(state(start + 12.seconds)).isEqualTo(RegistrationState.GONE)
+
+        directory.put(endpoint("a", isLeaving = true))
+        expectThat(state(start)).isEqualTo(RegistrationState.LEAVING)
+        directory.put(endpoint("a", startedAt = 2))
+        expectThat(state(start)).isEqualTo(RegistrationState.GONE)
+    }
+
+    @Test
+    fun `a process is gone when another one has registered at its address`() {
+        directory.put(endpoint("old"))
+        directory.put(endpoint("new", startedAt = 2))
+        expectThat(directory.registrationState(start, endpoint("old"))).isEqualTo(RegistrationState.GONE)
+        expectThat(
+            directory.registrationState(start, endpoint("new", startedAt = 2)),
+        ).isEqualTo(RegistrationState.IN_USE)
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -137,21 +138,26 @@
     }
 
     /**
-     * Opens a connection to [address] and closes it; [result] is whether it stayed open for a moment.
+     * Opens a connection to [address] and closes it; [result] is whether it could be opened and stayed open.
      *
      * A proxy in front of a server that has ended may accept a connection and close it at once.
      */
     public fun probe(
         address: Address,
-        result: (Boolean) -> Unit,
+        result: (ProbeResult) -> Unit,
     ) {
         connect(address).addListener(
             ChannelFutureListener { future ->
                 if (future.isSuccess) {
-                    val check = { result(future.channel().isActive).also { future.channel().close() } }
+                    val check = {
+                        val isOpen = future.channel().isActive
+                        future.channel().close()
+                        result(if (isOpen) ProbeResult.OPEN else ProbeResult.CLOSED)
+                    }
                     future.channel().eventLoop().schedule(check, PROBE_MILLIS, TimeUnit.MILLISECONDS)
                 } else {
-                    result(false)
+                    val isTimeout = future.cause() is ConnectTimeoutException
+                    result(if (isTimeout) ProbeResult.NO_ANSWER else ProbeResult.CLOSED)
                 }
             },
         )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/AnswerObserver.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/AnswerObserver.kt
@@ -13,12 +13,16 @@
 internal class AnswerObserver(
     private val names: RelayHeaderNames,
     private val directory: EndpointDirectory,
+    /** Called when a process of an endpoint has sent something. */
+    private val onSignOfLife: (RelayEndpoint) -> Unit,
 ) {
     /** Called with the [head] of each answer that the process of [endpoint] sends. */
     fun onHead(
         endpoint: RelayEndpoint,
         head: ClientEvent.Head,
     ) {
+        // A misdirected request was answered by another process at the address.
+        if (head.status != MISDIRECTED) onSignOfLife(endpoint)
         if (head.headers.get(names.leaving)?.trim() == LEAVES && directory.onLeaving(endpoint)) {
             EventLog.info(
                 "endpoint leaves",
@@ -63,6 +67,7 @@
     private companion object {
         const val LEAVES = "1"
         const val UNAVAILABLE = 503
+        const val MISDIRECTED = 421
         const val MAX_LOGGED_CHARS = 50
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -23,6 +23,8 @@
 
     override val answerBegun: Boolean = false
 
+    override val isRunAnswered: Boolean = false
+
     override val receiver: EndpointId? get() = endpoint?.id
 
     override fun canResend(): Boolean = silent.isNotEmpty() || super.canResend()
@@ -69,7 +71,7 @@
         val failed = endpoint
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
         val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
-        if (failed != null && isLoss(event)) afterLoss(failed, isAnswered = false, next) else next()
+        if (isBreak(event)) afterBreak(next) else next()
     }
 
     private fun onOversized() {
@@ -83,7 +85,7 @@
         val silentEndpoint = endpoint?.id
         val sent = call?.sent == true
         if (sent && !(mayReplaceAttempt() && hasOtherEndpoint())) return
-        abandonCall()
+        abandonCall(silentEndpoint)
         silentEndpoint?.let(silent::add)
         onAttemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, "silent", silentEndpoint)
     }
@@ -101,7 +103,7 @@
         val answer = body.toByteArray()
         when {
             isRefusal(head) -> onRefused(head, from)
-            !isDeliverable(head) -> onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), from.id)
+            !isDeliverable(head) -> afterBreak { onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), from.id) }
             head.status in SUCCESS_FIRST..SUCCESS_LAST || head.status < SERVER_ERROR -> deliver(head, answer)
             else -> onAttemptFailed(AttemptEnd.Failed, "endpoint_error", from.id) { deliver(head, answer) }
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -64,28 +64,54 @@
     fun onCrash(crash: EndpointCrash) {
         metrics.onEndpointEnded()
         val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
-        val requests = crash.unanswered.distinct().take(MAX_REPORTED_REQUESTS)
+        val requests = crash.unanswered.distinct()
         if (requests.isEmpty()) return
-        val observedAt = monotonicNow()
-        update { guard.onCrash(observedAt, process, requests) }
+        update { guard.onCrash(crash.at, process, requests) }
         checkStored()
-        tell(process, requests, observedAt)
+        tell(crash, process)
         RESEND_DELAYS.forEach { delay ->
-            timers.after(delay) { if (isLasting(process)) tell(process, requests, observedAt) }
+            timers.after(delay) { if (isLasting(process)) tell(crash, process) }
         }
     }
 
+    /**
+     * Records that this instance observes an endpoint as silent and out of reach, and tells the other instances.
+     *
+     * The others are not told again, since the platform soon shows whether the endpoint has ended.
+     */
+    fun onSilent(crash: EndpointCrash) {
+        val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
+        val requests = crash.unanswered.distinct()
+        if (requests.isEmpty()) return
+        update { guard.onSilent(crash.at, process, requests) }
+        checkStored()
+        tell(crash, process, isConfirmed = false)
+    }
+
+    /** Records that [process] has sent something, which ends what any instance has observed as its silence. */
+    fun onSignOfLife(process: EndpointProcess) {
+        if (guard.isSilent(process)) update { guard.onSignOfLife(process) }
+    }
+
     private fun isLasting(process: EndpointProcess): Boolean =
         guard.lastingNews(monotonicNow()).crashes.any { it.process == process }
 
     private fun tell(
+        crash: EndpointCrash,
         process: EndpointProcess,
-        requests: List<Set<RequestTrait>>,
-        observedAt: Timestamp,
+        isConfirmed: Boolean = true,
     ) {
-        val age = (monotonicNow() - observedAt).inWholeMilliseconds
-        for (some in requests.chunked(REQUESTS_PER_DATAGRAM)) {
-            send(CrashNews(listOf(CrashReport(process, some, age)), guard.known(some.flatten())))
+        val age = (monotonicNow() - crash.at).inWholeMilliseconds
+        for (some in crash.unanswered
+            .distinct()
+            .take(MAX_REPORTED_REQUESTS)
+            .chunked(REQUESTS_PER_DATAGRAM)) {
+            send(
+                CrashNews(
+                    listOf(CrashReport(process, some, age, isConfirmed = isConfirmed)),
+                    guard.known(some.flatten()),
+                ),
+            )
         }
     }
 
@@ -140,7 +166,11 @@
     /** Returns what must not be lost with this process, or null if the store has all of it. */
     fun unstoredNews(): CrashNews? {
         val news = guard.lastingNews(monotonicNow())
-        val isStored = news.crashes.all { report -> requestsInStore(report.process).containsAll(report.unanswered) }
+        val isStored =
+            news.crashes.all { report ->
+                val inStore = reportsInStore(report.process).filter { it.isConfirmed || !report.isConfirmed }
+                inStore.flatMapTo(HashSet()) { it.unanswered }.containsAll(report.unanswered)
+            }
         return news.takeUnless { isStored }
     }
 
@@ -148,15 +178,13 @@
         if (unstoredNews() != null) onUnstoredNews()
     }
 
-    private fun requestsInStore(process: EndpointProcess): Set<Set<RequestTrait>> =
-        stored.values.flatMapTo(HashSet()) { news ->
-            news.crashes.filter { it.process == process }.flatMap { it.unanswered }
-        }
+    private fun reportsInStore(process: EndpointProcess): List<CrashReport> =
+        stored.values.flatMap { news -> news.crashes.filter { it.process == process } }
 
     private companion object {
         /** Datagrams may be lost; one about an end that is a matter of suspicion is sent again after these delays. */
         val RESEND_DELAYS = listOf(250.milliseconds, 1.seconds)
-        val EXPIRY_INTERVAL = 10.seconds
+        val EXPIRY_INTERVAL = 1.seconds
 
         /** How long it is not repeated that requests with a trait were answered. */
         val TOLD_TTL = 5.seconds
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -153,6 +153,7 @@
         context.refusalSharing.retain(registered)
         frontEnd.onStateChanged()
         context.paces.retain(registered)
+        context.losses.checkRegistrations()
     }
 
     /** Adds or updates one registered endpoint. */
@@ -194,6 +195,7 @@
             "revision" to revision,
             "store_age_ms" to context.endpointContact.age?.inWholeMilliseconds,
         )
+        context.losses.checkRegistrations()
     }
 
     /** Updates the number of instances that share the budgets, and of those that use the endpoints of this zone. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -33,7 +33,7 @@
     val headers = RelayHeaders(names)
     val configuration = ConfigurationHolder()
     val directory = EndpointDirectory(settings.directory)
-    val answers = AnswerObserver(names, directory)
+    val answers = AnswerObserver(names, directory, onSignOfLife = { losses.onSignOfLife(it) })
     val configurationContact = StoreContact()
     val endpointContact = StoreContact()
     val budgets = ServiceBudgets(settings.budgets, startedAt = monotonicNow())
@@ -47,7 +47,15 @@
     val durations = AnswerDurations()
     val stoppingPeers = StoppingPeers()
     val harmful = HarmfulRequests(timers, metrics, send = { shareCrashNews(it) }, ::endRejectedRequests)
-    val losses = EndpointLosses(timers, http::probe, harmful::onCrash)
+    val losses: EndpointLosses =
+        EndpointLosses(
+            timers,
+            probe = http::probe,
+            registrationState = { directory.registrationState(monotonicNow(), it) },
+            onCrash = ::onEndpointEnded,
+            onSilent = harmful::onSilent,
+            onSignOfLife = harmful::onSignOfLife,
+        )
 
     /** Sends a refusal to the other instances of the zone. */
     var shareRefusal: (SharedRefusal) -> Unit = {}
@@ -55,6 +63,11 @@
     /** Sends news about ends of endpoints to all other instances. */
     var shareCrashNews: (CrashNews) -> Unit = {}
 
+    private fun onEndpointEnded(crash: EndpointCrash) {
+        directory.onFailure(monotonicNow(), crash.endpoint.id)
+        harmful.onCrash(crash)
+    }
+
     private fun endRejectedRequests() = sessions.toList().forEach { it.onRejectionsAdded() }
 
     /** Log fields that tell how current the configuration and the endpoints are. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import oriolespindle.core.crash.BrokenAttempt
 import oriolespindle.core.crash.RequestTrait
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.relay.AttemptDecision
@@ -41,6 +42,10 @@
     private var expiryTimer: ScheduledFuture<*>? = null
     private var attemptTimer: ScheduledFuture<*>? = null
 
+    /** The endpoints that take part in the attempt in progress; the first one receives it. */
+    private var receivers: List<RelayEndpoint> = emptyList()
+    private var sentAt = Timestamp.ZERO
+
     /** Whether an endpoint may have received the request. */
     private var hasCalled = false
 
@@ -123,6 +128,9 @@
     /** Whether a part of an answer was sent to the caller, after which the status can no longer change. */
     protected abstract val answerBegun: Boolean
 
+    /** Whether the endpoint of the attempt in progress has evidently survived the beginning of its answer. */
+    protected abstract val isRunAnswered: Boolean
+
     /** Called when an attempt ends or the request ends, possibly without an attempt in progress. */
     protected abstract fun onAttemptEnded()
 
@@ -198,6 +206,8 @@
             )
         var current: ClientCall? = null
         hasCalled = true
+        this.receivers = receivers
+        sentAt = monotonicNow()
         current =
             context.http.send(outgoing) { event ->
                 // Late events of an abandoned attempt are ignored.
@@ -222,38 +232,33 @@
         attemptTimer = null
     }
 
-    /** Cancels the call in progress; its later events are ignored. */
-    protected fun abandonCall() {
+    /** Cancels the call in progress, whose later events are ignored; [silentEndpoint] is why, unless null. */
+    protected fun abandonCall(silentEndpoint: EndpointId? = null) {
         stopWatching()
         val dropped = call
         call = null
+        if (dropped?.sent == true) context.losses.onAbandoned(receivers, brokenAttempt(), silentEndpoint)
         dropped?.cancel()
     }
 
+    private fun brokenAttempt() = BrokenAttempt(request.traits.all, isBegun = isRunAnswered, sentAt)
+
     /**
-     * Calls [next] after the connection to [endpoint] has ended before the answer was complete.
+     * Calls [next] after the answer has broken off or made no sense, so that the endpoint may have ended.
      *
-     * A request that [endpoint] had not begun to answer waits until it is known whether the endpoint has ended, since
+     * A request that the endpoint had not begun to answer waits until it is known whether the endpoint has ended, since
      * it may be the cause and must not end another one.
      */
-    protected fun afterLoss(
-        endpoint: RelayEndpoint,
-        isAnswered: Boolean,
-        next: () -> Unit,
-    ) {
-        when {
-            isAnswered -> {
-                context.losses.onConnectionLost(endpoint, unanswered = null) {}
-                next()
-            }
-
-            else -> {
-                val lostCall = call
-                stopWatching()
-                context.losses.onConnectionLost(endpoint, request.traits.all) {
-                    guarded { if (!ended && call === lostCall) next() }
-                }
-            }
+    protected fun afterBreak(next: () -> Unit) {
+        if (isRunAnswered) {
+            context.losses.onBroken(receivers, brokenAttempt()) {}
+            next()
+            return
+        }
+        val brokenCall = call
+        stopWatching()
+        context.losses.onBroken(receivers, brokenAttempt()) {
+            guarded { if (!ended && call === brokenCall) next() }
         }
     }
 
@@ -474,8 +479,9 @@
         /** Maps a failure of the HTTP client; only a request that was never sent certainly did not run. */
         fun endOf(event: ClientEvent.Failed): AttemptEnd = if (event.sent) AttemptEnd.Unknown else AttemptEnd.NotSent
 
-        /** Whether the connection ended after the request was sent, which the end of the endpoint may have caused. */
-        fun isLoss(event: ClientEvent.Failed): Boolean = event.kind == FailureKind.CONNECTION_LOST && event.sent
+        /** Whether the answer broke off or made no sense, which the end of the endpoint may have caused. */
+        fun isBreak(event: ClientEvent.Failed): Boolean =
+            event.sent && (event.kind == FailureKind.CONNECTION_LOST || event.kind == FailureKind.MALFORMED)
 
         /** Whether a failure points to the whole endpoint rather than to one connection or request. */
         fun concernsEndpoint(event: ClientEvent.Failed): Boolean =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -39,8 +39,7 @@
     /** Whether an event of the run in progress was forwarded, so that it is known to continue the answer. */
     private val hasJoined: Boolean get() = reader.runEvents > 0
 
-    /** Whether the endpoint has evidently survived the beginning of its answer. */
-    private val isRunAnswered: Boolean get() = reader.runEvents >= EVENTS_OF_ANSWER
+    override val isRunAnswered: Boolean get() = reader.runEvents >= EVENTS_OF_ANSWER
 
     /** Whether the run in progress has sent any byte of a body. */
     private var hasBody = false
@@ -202,6 +201,7 @@
         forwardedEvents += count
         if (isRunAnswered && reader.runEvents - count < EVENTS_OF_ANSWER) onAnswered()
         lastEventAt = monotonicNow()
+        first?.let(context.losses::onSignOfLife)
         recordFirstEventLatency()
         path?.parts?.forEach { context.directory.onSuccess(it.endpoint.id, startedAt) }
             ?: first?.let { context.directory.onSuccess(it.id, startedAt) }
@@ -258,7 +258,7 @@
             }
 
             !isDeliverable(head) -> {
-                onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id)
+                afterBreak { onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id) }
             }
 
             head.status in SUCCESS_FIRST..SUCCESS_LAST -> {
@@ -299,7 +299,7 @@
         reason: String,
     ) {
         val next = { onAttemptFailed(AttemptEnd.Unknown, reason, first.id) }
-        if (continuation.hasExplicitEnd(head)) next() else afterLoss(first, isAnswered = isRunAnswered, next)
+        if (continuation.hasExplicitEnd(head)) next() else afterBreak(next)
     }
 
     private fun deliverFailure(
@@ -325,7 +325,7 @@
         val failed = first
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
         val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
-        if (failed != null && isLoss(event)) afterLoss(failed, isAnswered = isRunAnswered, next) else next()
+        if (isBreak(event)) afterBreak(next) else next()
     }
 
     /** Whether the attempt may be abandoned for another one; a stream that cannot run again stays at its endpoint. */
@@ -416,7 +416,7 @@
     private fun abandonAttempt(faulty: EndpointId) {
         val sent = call?.sent == true
         context.directory.onFailure(monotonicNow(), faulty)
-        abandonCall()
+        abandonCall(silentEndpoint = faulty)
         onAttemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, "stalled", faulty)
     }
 
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutAnswerTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/CutAnswerTest.kt
@@ -27,7 +27,8 @@
 
         fun call(method: String): RawAnswer {
             relay.register(*endpoints.map { it.registration() }.toTypedArray())
-            return relay.call(method, headers = mapOf("Request-Name" to REQUEST_ID))
+            // One content that breaks off at endpoints that are closed right afterwards would be taken for their cause.
+            return relay.call(method, headers = mapOf("Request-Name" to REQUEST_ID), body = "body $index")
         }
 
         override fun close() = endpoints.forEach { it.close() }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/UnnoticedEndTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/UnnoticedEndTest.kt
@@ -98,6 +98,7 @@
     fun `a call under which endpoints end a moment after bytes that are no answer`() {
         val calls =
             endpoints(isStream = false) { self, _ ->
+                Thread.sleep(CRASH_DELAY_MILLIS)
                 write(NO_ANSWER)
                 self.end()
             }
