Reject streams under which endpoints end after their first events

Callers saw engines end one after the other under one stream that was sent again and again, and resumed at the next engine each time. An answer that has two events counted as proof that the request ends nothing, and after the first event that was passed on, no attempt of the request was checked any more.

A begun answer still ends the suspicion of what a request has in common with others, so that sound parts stay in use. Beside that, the content of a request is rejected after five ends that nothing else explains if no request with it was ever answered completely. Instances tell each other which contents were at an end and which were completed. Each attempt is checked, also one that resumes a begun answer; only a run that is being answered goes on when a rejection comes.

Parts of prompts that end endpoints after two or more events are not rejected.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashNews.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashNews.kt
@@ -18,6 +18,8 @@
     public val unanswered: List<Set<RequestTrait>>,
     /** The time from the end of the process to this report, in milliseconds. */
     public val ageMillis: Long = 0,
+    /** The contents of the requests that the process had begun to answer and had not completed. */
+    public val begun: Set<RequestTrait> = emptySet(),
     /** Whether the process has certainly ended; otherwise it is silent and may only be out of reach. */
     public val isConfirmed: Boolean = true,
 )
@@ -30,4 +32,6 @@
     public val known: Set<RequestTrait> = emptySet(),
     /** The traits of a request that an endpoint has just begun to answer. */
     public val answered: Set<RequestTrait> = emptySet(),
+    /** The contents of requests that an endpoint has answered completely. */
+    public val completed: Set<RequestTrait> = emptySet(),
 )
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -17,6 +17,11 @@
  * were in all its requests; so what sound requests share with harmful ones is not rejected by itself. A trait of which
  * requests were answered before is rejected only after more ends that no other rejection explains.
  *
+ * An answer that is begun does not prove a request sound, since its endpoint may end later in the answer. So a content
+ * is also rejected after [HarmfulRequestSettings.maxCrashesOfBegun] ends that no other rejection explains if no request
+ * with it was ever answered completely. Parts of prompts are not, since many sound requests may have a new part in
+ * common before the first of them is complete.
+ *
  * A process that is silent and out of reach counts as ended for a short time, unless it sends something or its end is
  * confirmed. Such ends count only against traits of which no request was ever answered, since an instance that is cut
  * off from many endpoints must not reject what others serve.
@@ -32,9 +37,10 @@
     ) {
         var isConfirmed = false
         val requests = LinkedHashSet<Set<RequestTrait>>()
+        val begun = LinkedHashSet<RequestTrait>()
 
         fun isExplainedBy(rejections: Collection<Set<RequestTrait>>): Boolean =
-            rejections.any { rejected -> requests.any { it.containsAll(rejected) } }
+            rejections.any { rejected -> requests.any { it.containsAll(rejected) } || begun.containsAll(rejected) }
     }
 
     /** A trait that may be harmful, with the ends at which it is suspected. */
@@ -50,6 +56,9 @@
     /** The [crashes] by the traits of their requests. */
     private val crashesByTrait = HashMap<RequestTrait, LinkedHashSet<Crash>>()
 
+    /** The [crashes] by the contents of all their requests, also of those that were begun to be answered. */
+    private val crashesByContent = HashMap<RequestTrait, LinkedHashSet<Crash>>()
+
     /** When requests with a trait were last begun to be answered; null if only another instance has seen so. */
     private val answeredAt =
         object : LinkedHashMap<RequestTrait, Timestamp?>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
@@ -57,6 +66,13 @@
                 size > settings.maxKnownTraits
         }
 
+    /** The contents of requests that were answered completely while ends of endpoints were remembered. */
+    private val completed =
+        object : LinkedHashMap<RequestTrait, Unit>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<RequestTrait, Unit>): Boolean =
+                size > settings.maxKnownTraits
+        }
+
     /** The sets of traits such that a request with all traits of one is rejected. */
     public var rejections: Set<Set<RequestTrait>> = emptySet()
         private set
@@ -67,6 +83,9 @@
     /** Returns the traits because of which a request with [traits] is rejected, or null if it is not. */
     public fun rejection(traits: Set<RequestTrait>): Set<RequestTrait>? = rejections.firstOrNull(traits::containsAll)
 
+    /** Returns whether an endpoint has ended while it ran a request with [content], and none has completed one. */
+    public fun isSuspected(content: RequestTrait): Boolean = content in crashesByContent && content !in completed
+
     /** Returns how long requests with all traits of [rejection] are rejected from [now] on, unless more ends follow. */
     public fun rejectedFor(
         now: Timestamp,
@@ -92,13 +111,25 @@
         return suspected
     }
 
-    /** Records the end of [process] at [at], which had not begun to answer requests with the traits in [unanswered]. */
+    /** Records that a request with [content] was answered completely; returns whether ends were held against it. */
+    public fun onCompleted(content: RequestTrait): Boolean {
+        completed[content] = Unit
+        if (content !in crashesByContent) return false
+        judge()
+        return true
+    }
+
+    /**
+     * Records the end of [process] at [at], which had not begun to answer the requests with the traits in [unanswered],
+     * and had not completed the answers to those with the contents in [begun].
+     */
     public fun onCrash(
         at: Timestamp,
         process: EndpointProcess,
         unanswered: List<Set<RequestTrait>>,
+        begun: Set<RequestTrait> = emptySet(),
     ) {
-        record(at, CrashReport(process, unanswered))
+        record(at, CrashReport(process, unanswered, begun = begun))
         judge()
     }
 
@@ -130,6 +161,7 @@
         news.known.forEach { if (it !in answeredAt) answeredAt[it] = null }
         news.crashes.forEach { record(now, it) }
         news.answered.forEach { answeredAt[it] = now }
+        news.completed.forEach { completed[it] = Unit }
         judge()
         return knownHere
     }
@@ -160,8 +192,10 @@
         val reports =
             crashes.values.mapNotNull { crash ->
                 val requests = crash.requests.filter { request -> request.any { it in repeated } }
+                val begun = crash.begun.filterTo(LinkedHashSet(), ::isRepeatedContent)
                 val age = (now - crash.at).inWholeMilliseconds
-                CrashReport(crash.process, requests, age, crash.isConfirmed).takeIf { requests.isNotEmpty() }
+                CrashReport(crash.process, requests, age, begun, crash.isConfirmed)
+                    .takeIf { requests.isNotEmpty() || begun.isNotEmpty() }
             }
         return CrashNews(reports, known(reports.flatMap { it.unanswered.flatten() }))
     }
@@ -172,6 +206,9 @@
     private fun isRepeated(trait: RequestTrait): Boolean =
         trait !in answeredAt && countMoments(suspectedAt(trait)) >= MIN_REPEATED
 
+    private fun isRepeatedContent(content: RequestTrait): Boolean =
+        content !in completed && countMoments(crashesByContent[content].orEmpty()) >= MIN_REPEATED
+
     private fun record(
         now: Timestamp,
         report: CrashReport,
@@ -184,6 +221,12 @@
         for (request in report.unanswered.filter { it !in crash.requests }.take(maxOf(room, 0))) {
             crash.requests += request
             request.forEach { crashesByTrait.getOrPut(it) { LinkedHashSet() } += crash }
+            request.filter { it.isContent }.forEach { crashesByContent.getOrPut(it) { LinkedHashSet() } += crash }
+        }
+        val roomForBegun = settings.maxRequestsPerCrash - crash.begun.size
+        for (content in report.begun.filter { it !in crash.begun }.take(maxOf(roomForBegun, 0))) {
+            crash.begun += content
+            crashesByContent.getOrPut(content) { LinkedHashSet() } += crash
         }
         if (crashes.size > settings.maxRecordedCrashes) dropOldestUnexplained()
     }
@@ -194,12 +237,13 @@
         onCrashesRemoved()
     }
 
-    private fun onCrashesRemoved() {
-        crashesByTrait.values.removeIf { known ->
-            known.removeIf { crashes[it.process] !== it }
-            known.isEmpty()
+    private fun onCrashesRemoved() =
+        listOf(crashesByTrait, crashesByContent).forEach { index ->
+            index.values.removeIf { known ->
+                known.removeIf { crashes[it.process] !== it }
+                known.isEmpty()
+            }
         }
-    }
 
     /** Returns the ends at which [trait] is suspected: those since a request with it was last answered. */
     private fun suspectedAt(trait: RequestTrait): List<Crash> {
@@ -216,6 +260,7 @@
                 .filter { it.count >= settings.maxCrashes }
         val specific = unknown.filterNot { candidate -> unknown.any { explainsAsWell(it, candidate) } }
         val found = specific.mapTo(LinkedHashSet()) { it.common }
+        found += neverCompleted(found).map(::setOf)
         val known =
             repeated
                 .filter { it in answeredAt }
@@ -227,6 +272,16 @@
         rejections = found.filterNotTo(LinkedHashSet()) { set -> found.any { it != set && set.containsAll(it) } }
     }
 
+    /** Returns the contents that were never answered completely, with too many ends that [found] does not explain. */
+    private fun neverCompleted(found: Set<Set<RequestTrait>>): List<RequestTrait> =
+        crashesByContent
+            .filter { (content, crashes) -> crashes.size >= settings.maxCrashesOfBegun && content !in completed }
+            .filterValues { crashes ->
+                val unexplained = crashes.filter { it.isConfirmed && !it.isExplainedBy(found) }
+                countMoments(unexplained) >= settings.maxCrashesOfBegun
+            }.keys
+            .toList()
+
     private fun candidate(
         trait: RequestTrait,
         crashes: List<Crash>,
@@ -245,7 +300,7 @@
             other.crashes.containsAll(candidate.crashes)
 
     /** Returns the number of [crashes], of which those that were simultaneous count as one. */
-    private fun countMoments(crashes: List<Crash>): Int {
+    private fun countMoments(crashes: Collection<Crash>): Int {
         var count = 0
         var moment: Timestamp? = null
         for (at in crashes.map { it.at }.sorted()) {
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
@@ -16,6 +16,12 @@
      * callers, so more evidence is needed.
      */
     public val maxCrashesOfKnown: Int = 5,
+    /**
+     * The same for a content of which answers were begun and none was completed.
+     *
+     * A sound stream is at the ends that a harmful request causes until one of its runs completes.
+     */
+    public val maxCrashesOfBegun: Int = 5,
     /** Ends within this time of each other count as one: a rack, a switch or a zone may have failed. */
     public val simultaneousWindow: Duration = 50.milliseconds,
     /** How long an end of an endpoint counts, and thereby how long requests are rejected after the last one. */
@@ -26,6 +32,6 @@
     public val maxRecordedCrashes: Int = 256,
     /** The most unanswered requests that are remembered for one end of an endpoint. */
     public val maxRequestsPerCrash: Int = 256,
-    /** The most traits of which it is remembered that requests were answered. */
+    /** The most traits of which it is remembered that requests were answered, and that they were completed. */
     public val maxKnownTraits: Int = 16_384,
 )
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
@@ -21,6 +21,12 @@
     val otherCrashInterval: Duration = 8.seconds,
     /** How long the sound requests come before the harmful ones. */
     val warmUp: Duration = 10.seconds,
+    /** Whether endpoints end silently, so that instances learn it when the platform removes the registration. */
+    val isSilent: Boolean = false,
+    /** The share of the endpoints of its zone that each instance is cut off from for a time. */
+    val cutShare: Double = 0.0,
+    /** How long an answer takes from its beginning to its end. */
+    val answerTime: Duration = Duration.ZERO,
 )
 
 /** Sums over seeded runs; [maxLateArrivals] is the largest number of late arrivals of harmful requests in one run. */
@@ -49,7 +55,10 @@
         val traits: Set<RequestTrait>,
         val isHarmful: Boolean,
         val attempt: Int = 1,
-    )
+        var isBegun: Boolean = false,
+    ) {
+        val content = traits.last()
+    }
 
     private val random = SplittableRandom(seed)
     private val time = VirtualTime()
@@ -86,11 +95,11 @@
             } else {
                 "part${(random.nextDouble().let { it * it } * PARTS).toInt()}"
             }
-        return Run(random.nextInt(guards.size), traits(part, "content$number"), isHarmful = false)
+        return Run(random.nextInt(guards.size), traits(part, "content/$number"), isHarmful = false)
     }
 
     private fun harmful(number: Int) =
-        Run(random.nextInt(guards.size), traits(SHARED, "bad", "contentBad$number"), isHarmful = true)
+        Run(random.nextInt(guards.size), traits(SHARED, "bad", "content/bad$number"), isHarmful = true)
 
     private fun traits(vararg names: String) = names.mapTo(LinkedHashSet()) { RequestTrait(it) }
 
@@ -102,6 +111,10 @@
         val up = (0 until scenario.endpoints).filter { time.now >= (downUntil[it] ?: time.now) }
         val inReach = up.filter { zoneOf(it) == zoneOf(run.instance) }
         val endpoint = inReach.randomOrNull() ?: return
+        if (isUnreachable(run.instance, endpoint)) {
+            onUnreachable(run, endpoint)
+            return
+        }
         if (run.isHarmful) harmfulArrivals += time.now
         val waiting = running.getOrPut(endpoint) { ArrayList() }
         waiting += run
@@ -112,13 +125,23 @@
                 crashesByHarmful += time.now
                 crash(endpoint)
             } else {
-                waiting -= run
+                run.isBegun = true
                 val suspected = guards[run.instance].onAnswered(time.now, run.traits)
                 if (suspected.isNotEmpty()) send(run.instance, CrashNews(answered = suspected))
+                time.after(scenario.answerTime) { complete(endpoint, start, run) }
             }
         }
     }
 
+    private fun complete(
+        endpoint: Int,
+        start: Long?,
+        run: Run,
+    ) {
+        if (starts[endpoint] != start || running[endpoint]?.remove(run) != true) return
+        if (guards[run.instance].onCompleted(run.content)) send(run.instance, CrashNews(completed = setOf(run.content)))
+    }
+
     private fun <T> List<T>.randomOrNull(): T? = if (isEmpty()) null else get(random.nextInt(size))
 
     private fun crash(endpoint: Int) {
@@ -127,8 +150,16 @@
         starts[endpoint] = process.startedAt + 1
         downUntil[endpoint] = time.now + DOWN_TIME
         val lost = running.remove(endpoint).orEmpty()
+        val crashedAt = time.now
         for ((instance, runs) in lost.groupBy { it.instance }) {
-            time.after(DETECTION_TIME) { observe(instance, process, runs) }
+            val detectionTime = if (scenario.isSilent) REMOVAL_TIME else DETECTION_TIME
+            if (scenario.isSilent) {
+                time.after(
+                    SILENCE_TIMEOUT * 2,
+                ) { observeSilence(instance, process, runs, crashedAt) }
+            }
+            time.after(detectionTime) { observe(instance, process, runs, crashedAt) }
+            time.after(if (scenario.isSilent) SILENCE_TIMEOUT else DETECTION_TIME) { sendAgain(runs) }
         }
     }
 
@@ -136,23 +167,61 @@
         instance: Int,
         process: EndpointProcess,
         runs: List<Run>,
+        observedAt: Timestamp,
     ) {
-        val requests = runs.map { it.traits }
-        guards[instance].onCrash(time.now, process, requests)
-        val observedAt = time.now
+        val requests = runs.filterNot { it.isBegun }.map { it.traits }
+        val begun = runs.filter { it.isBegun }.mapTo(LinkedHashSet()) { it.content }
+        guards[instance].onCrash(observedAt, process, requests, begun)
         for (delay in listOf(Duration.ZERO, 250.milliseconds, 1.seconds)) {
             time.after(delay) {
                 val isLasting = guards[instance].lastingNews(time.now).crashes.any { it.process == process }
                 if (delay > Duration.ZERO && !isLasting) return@after
-                val report = CrashReport(process, requests, (time.now - observedAt).inWholeMilliseconds)
+                val report = CrashReport(process, requests, (time.now - observedAt).inWholeMilliseconds, begun)
                 send(instance, CrashNews(listOf(report), guards[instance].known(requests.flatten())))
             }
         }
         keep(instance)
-        runs.filter { it.attempt < MAX_ATTEMPTS }.forEach {
+    }
+
+    private fun observeSilence(
+        instance: Int,
+        process: EndpointProcess,
+        runs: List<Run>,
+        observedAt: Timestamp,
+    ) {
+        val requests = runs.filterNot { it.isBegun }.map { it.traits }
+        guards[instance].onSilent(observedAt, process, requests)
+        val age = (time.now - observedAt).inWholeMilliseconds
+        val report = CrashReport(process, requests, age, isConfirmed = false)
+        send(instance, CrashNews(listOf(report), guards[instance].known(requests.flatten())))
+        keep(instance)
+        guards.forEach { guard -> time.after(SILENCE_RETENTION) { guard.expire(time.now) } }
+    }
+
+    private fun isUnreachable(
+        instance: Int,
+        endpoint: Int,
+    ): Boolean {
+        val isCutNow = time.now.nanos / CUT_TIME.inWholeNanoseconds % 2 == 1L
+        return isCutNow && (endpoint * UNREACHABLE_STRIDE + instance) % HUNDRED < scenario.cutShare * HUNDRED
+    }
+
+    /** A sound endpoint answers nothing while the link is cut, and takes no connection. */
+    private fun onUnreachable(
+        run: Run,
+        endpoint: Int,
+    ) {
+        val process = EndpointProcess(EndpointId("e$endpoint"), starts[endpoint] ?: 0)
+        val sentAt = time.now
+        time.after(SILENCE_TIMEOUT) { sendAgain(listOf(run)) }
+        time.after(SILENCE_TIMEOUT * 2) { observeSilence(run.instance, process, listOf(run), sentAt + SILENCE_TIMEOUT) }
+    }
+
+    /** Streams that have begun are resumed as often as needed. */
+    private fun sendAgain(runs: List<Run>) =
+        runs.filter { it.attempt < MAX_ATTEMPTS || it.isBegun }.forEach {
             onArrival(Run(it.instance, it.traits, it.isHarmful, it.attempt + 1))
         }
-    }
 
     private fun send(
         from: Int,
@@ -177,7 +246,12 @@
     private fun keep(instance: Int) {
         if (scenario.isStoreDown) return
         val news = guards[instance].lastingNews(time.now)
-        if (news.crashes.isEmpty() || stored[instance]?.second?.crashes?.size == news.crashes.size) return
+        if (news.crashes.isEmpty() ||
+            stored[instance]?.second?.crashes?.map { it.copy(ageMillis = 0) } ==
+            news.crashes.map { it.copy(ageMillis = 0) }
+        ) {
+            return
+        }
         stored[instance] = time.now to news
         time.after(STORE_DELAY) {
             guards.indices.filter { it != instance }.forEach { reader ->
@@ -217,6 +291,14 @@
         val DURATION = 30.seconds
         val DOWN_TIME = 3.seconds
         val DETECTION_TIME = 27.milliseconds
+
+        /** From the silent end of an endpoint until instances know that its registration was removed. */
+        val REMOVAL_TIME = 4.seconds
+        val SILENCE_TIMEOUT = 400.milliseconds
+        val SILENCE_RETENTION = 7.seconds
+        val CUT_TIME = 5.seconds
+        const val UNREACHABLE_STRIDE = 37
+        const val HUNDRED = 100
         val STORE_DELAY = 900.milliseconds
         val STABLE_WINDOW = 3.seconds
     }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulRequestGuardTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulRequestGuardTest.kt
@@ -106,6 +106,63 @@
         expectThat(guard.rejections).isEmpty()
     }
 
+    @Test
+    fun `rejects a content whose answers were begun at five ends and never completed`() {
+        val content = traits("content/1").single()
+        (1..5).forEach {
+            expectThat(guard.rejections).isEmpty()
+            guard.onAnswered(at(it * 200 - 50), traits("part", "content/1"))
+            guard.onCrash(at(it * 200), process(it), emptyList(), begun = setOf(content))
+        }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("content/1")))
+        expectThat(guard.lastingNews(at(1_000)).crashes.map { it.begun }).isEqualTo(List(5) { setOf(content) })
+        expectThat(guard.onCompleted(content)).isEqualTo(true)
+        expectThat(guard.rejections).isEmpty()
+    }
+
+    @Test
+    fun `does not hold ends that another rejection explains against a stream that was begun at them`() {
+        val begun = traits("content/stream")
+        (1..9).forEach { guard.onCrash(at(it * 200), process(it), listOf(traits("part", "content/bad")), begun) }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("part", "content/bad")))
+    }
+
+    @Test
+    fun `rejects an unknown part under which three endpoints fell silent, until the silences are over`() {
+        (1..3).forEach { guard.onSilent(at(it * 200), process(it), listOf(traits("bad", "c$it"))) }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("bad")))
+        expectThat(guard.lastingNews(at(700)).crashes.map { it.isConfirmed }).isEqualTo(List(3) { false })
+        guard.onSignOfLife(process(1))
+        expectThat(guard.rejections).isEmpty()
+        guard.crash(4, traits("bad", "c4"))
+        expectThat(guard.rejections).isEqualTo(setOf(traits("bad")))
+        guard.expire(at(7_000))
+        expectThat(guard.rejections).isEmpty()
+    }
+
+    @Test
+    fun `a silence that is confirmed stays`() {
+        (1..3).forEach { guard.onSilent(at(it * 200), process(it), listOf(traits("bad", "c$it"))) }
+        (1..3).forEach { guard.crash(it, traits("bad", "c$it"), millis = 4_000) }
+        guard.onSignOfLife(process(1))
+        guard.expire(at(9_000))
+        expectThat(guard.rejections).isEqualTo(setOf(traits("bad")))
+    }
+
+    @Test
+    fun `does not hold silences against a part whose requests were answered before`() {
+        guard.onAnswered(at(0), traits("popular"))
+        (1..9).forEach { guard.onSilent(at(it * 200), process(it), listOf(traits("popular", "c$it"))) }
+        expectThat(guard.rejections).isEmpty()
+    }
+
+    @Test
+    fun `knows from others that a content was completed`() {
+        guard.merge(at(0), CrashNews(completed = traits("content/1")))
+        (1..9).forEach { guard.onCrash(at(it * 200), process(it), emptyList(), traits("content/1")) }
+        expectThat(guard.rejections).isEmpty()
+    }
+
     @Test
     fun `lifts a rejection when its evidence is deleted or has expired`() {
         (1..3).forEach { guard.crash(it, traits("part", "c$it")) }
@@ -177,6 +234,23 @@
                 HarmfulPartScenario("a zone cut off from the others", isZoneCut = true),
                 HarmfulPartScenario("other endpoints end as well", otherCrashInterval = 2.seconds),
                 HarmfulPartScenario("the parts of the sound requests are new, too", warmUp = Duration.ZERO),
+                HarmfulPartScenario("answers take two seconds", answerTime = 2.seconds),
+                HarmfulPartScenario("endpoints end often", answerTime = 2.seconds, otherCrashInterval = 1.seconds),
+            )
+        for (counts in scenarios.map(::simulate)) {
+            expectThat(counts.maxLateArrivals).isLessThanOrEqualTo(MAX_LATE_ARRIVALS)
+            expectThat(counts.soundRejected * MAX_SOUND_REJECTED_ONE_IN).isLessThanOrEqualTo(counts.sound)
+        }
+    }
+
+    @Test
+    fun `a fleet stops a harmful part under which hosts fall silent, and rejects no sound request`() {
+        val scenarios =
+            listOf(
+                HarmfulPartScenario("silent ends", isSilent = true),
+                HarmfulPartScenario("many silent ends", isSilent = true, otherCrashInterval = 2.seconds),
+                HarmfulPartScenario("silent ends, a zone cut off", isSilent = true, isZoneCut = true),
+                HarmfulPartScenario("silent ends, sound endpoints out of reach", isSilent = true, cutShare = 0.3),
             )
         for (counts in scenarios.map(::simulate)) {
             expectThat(counts.maxLateArrivals).isLessThanOrEqualTo(MAX_LATE_ARRIVALS)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
@@ -18,11 +18,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The end of a process of an endpoint, with the traits of the requests that it had not begun to answer. */
+/** The end of a process of an endpoint, with the traits of the requests that it had not answered completely. */
 internal class EndpointCrash(
     val endpoint: RelayEndpoint,
     val at: Timestamp,
+    /** The traits of each request that it had not begun to answer. */
     val unanswered: List<Set<RequestTrait>>,
+    /** The contents of the requests that it had begun to answer. */
+    val begun: Set<RequestTrait>,
 )
 
 /**
@@ -199,6 +202,7 @@
             "broken_ms" to (monotonicNow() - ended.since).inWholeMilliseconds,
             "lost" to lost,
             "unanswered" to crash.unanswered.size,
+            "begun" to crash.begun.size,
             "traits" to mostFrequent(crash.unanswered),
         )
         onCrash(crash)
@@ -208,8 +212,9 @@
         endpoint: RelayEndpoint,
         ended: AttemptsOfEnded,
     ): EndpointCrash {
-        val unanswered = ended.attempts.filterNot { it.isBegun }
-        return EndpointCrash(endpoint, ended.since, unanswered.map { it.traits })
+        val (begun, unanswered) = ended.attempts.partition { it.isBegun }
+        val contents = begun.flatMap { it.traits }.filterTo(LinkedHashSet()) { it.isContent }
+        return EndpointCrash(endpoint, ended.since, unanswered.map { it.traits }, contents)
     }
 
     private fun mostFrequent(requests: List<Set<RequestTrait>>): List<Map.Entry<RequestTrait, Int>> {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -48,6 +48,9 @@
     fun rejection(traits: RequestTraits): Set<RequestTrait>? =
         if (guard.rejections.isEmpty()) null else guard.rejection(traits.all)
 
+    /** Returns whether an endpoint has ended that had not completely answered a request with this content. */
+    fun isSuspected(traits: RequestTraits): Boolean = !guard.isIdle && guard.isSuspected(traits.content)
+
     /** Returns how long requests with all traits of [rejection] are rejected from now on, unless more ends follow. */
     fun rejectedFor(rejection: Set<RequestTrait>): Duration = guard.rejectedFor(monotonicNow(), rejection)
 
@@ -60,13 +63,20 @@
         send(CrashNews(answered = suspected))
     }
 
+    /** Records that an endpoint has completely answered a request with [traits]. */
+    fun onCompleted(traits: RequestTraits) {
+        if (guard.isIdle) return
+        val content = traits.content
+        if (update { guard.onCompleted(content) }) send(CrashNews(completed = setOf(content)))
+    }
+
     /** Records the end of an endpoint that this instance has observed, and tells the other instances. */
     fun onCrash(crash: EndpointCrash) {
         metrics.onEndpointEnded()
         val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
         val requests = crash.unanswered.distinct()
-        if (requests.isEmpty()) return
-        update { guard.onCrash(crash.at, process, requests) }
+        if (requests.isEmpty() && crash.begun.isEmpty()) return
+        update { guard.onCrash(crash.at, process, requests, crash.begun) }
         checkStored()
         tell(crash, process)
         RESEND_DELAYS.forEach { delay ->
@@ -113,6 +123,10 @@
                 ),
             )
         }
+        if (!isConfirmed) return
+        for (some in crash.begun.take(MAX_REPORTED_REQUESTS).chunked(CONTENTS_PER_DATAGRAM)) {
+            send(CrashNews(listOf(CrashReport(process, unanswered = emptyList(), age, some.toSet()))))
+        }
     }
 
     /** Merges the [news] that another instance has sent. */
@@ -169,7 +183,8 @@
         val isStored =
             news.crashes.all { report ->
                 val inStore = reportsInStore(report.process).filter { it.isConfirmed || !report.isConfirmed }
-                inStore.flatMapTo(HashSet()) { it.unanswered }.containsAll(report.unanswered)
+                inStore.flatMapTo(HashSet()) { it.unanswered }.containsAll(report.unanswered) &&
+                    inStore.flatMapTo(HashSet()) { it.begun }.containsAll(report.begun)
             }
         return news.takeUnless { isStored }
     }
@@ -193,5 +208,6 @@
 
         /** Keeps a datagram below the usual size of a packet. */
         const val REQUESTS_PER_DATAGRAM = 6
+        const val CONTENTS_PER_DATAGRAM = 20
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -104,13 +104,13 @@
         if (rejection == null) startAttempt() else endRejected(rejection)
     }
 
-    /** Returns why the request must reach no endpoint; one that was answered by an endpoint is not harmful. */
-    private fun rejection(): Set<RequestTrait>? = if (answerBegun) null else context.harmful.rejection(request.traits)
+    /** Returns why the request must reach no endpoint any more; null if it may. */
+    private fun rejection(): Set<RequestTrait>? = context.harmful.rejection(request.traits)
 
-    /** Ends the request if it is among those that are rejected from now on. */
+    /** Ends the request if it is among those that are rejected from now on, unless its endpoint answers it. */
     fun onRejectionsAdded() =
         guarded {
-            val rejection = if (ended) null else rejection()
+            val rejection = if (ended || isRunAnswered) null else rejection()
             if (rejection != null) endRejected(rejection)
         }
 
@@ -122,6 +122,12 @@
     /** Called when an endpoint has begun to answer the request. */
     protected fun onAnswered() = context.harmful.onAnswered(request.traits)
 
+    /** Called when an endpoint has completely answered the request. */
+    protected fun onCompleted() {
+        onAnswered()
+        context.harmful.onCompleted(request.traits)
+    }
+
     /** Starts one attempt at an endpoint that may receive the request. */
     protected abstract fun startAttempt()
 
@@ -246,11 +252,11 @@
     /**
      * Calls [next] after the answer has broken off or made no sense, so that the endpoint may have ended.
      *
-     * A request that the endpoint had not begun to answer waits until it is known whether the endpoint has ended, since
-     * it may be the cause and must not end another one.
+     * A request that the endpoint had not begun to answer, or under which another one has ended before, waits until it
+     * is known whether the endpoint has ended, since the request may be the cause and must not end another one.
      */
     protected fun afterBreak(next: () -> Unit) {
-        if (isRunAnswered) {
+        if (isRunAnswered && !context.harmful.isSuspected(request.traits)) {
             context.losses.onBroken(receivers, brokenAttempt()) {}
             next()
             return
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTraits.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTraits.kt
@@ -19,7 +19,10 @@
     }
 
     /** [parts] and the content, by which a repeated request is recognized. */
-    val all: Set<RequestTrait> by lazy(LazyThreadSafetyMode.NONE) { parts + RequestTrait.ofContent(fingerprint()) }
+    val all: Set<RequestTrait> by lazy(LazyThreadSafetyMode.NONE) { parts + content }
+
+    /** The whole content. */
+    val content: RequestTrait by lazy(LazyThreadSafetyMode.NONE) { RequestTrait.ofContent(fingerprint()) }
 
     private fun fingerprint(): Fingerprint {
         val target = "$service ${exchange.method} ${exchange.uri}"
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -287,7 +287,7 @@
             return
         }
         if (!answerBegun) beginAnswer(current)
-        if (!isRunAnswered) onAnswered()
+        onCompleted()
         complete(current.status)
         exchange.endStream()
     }
