Date an observed end by its observation, and tell how long a rejection lasts that rests on silences

An end that a connection showed was dated by the first attempt that had broken off at the process, up to 10 s earlier, so an answer in between could hide it from a part that is known. It is dated by its observation again; only an end that shows with its registration is dated by the first attempt.

A rejection that rests on silent endpoints told callers to come back after 30 min, though it ends 6 s after the silences.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -91,9 +91,11 @@
         now: Timestamp,
         rejection: Set<RequestTrait>,
     ): Duration {
-        val times = crashes.values.filter { it.isExplainedBy(setOf(rejection)) }.map { it.at }
-        val last = times.maxOrNull() ?: return Duration.ZERO
-        return (last + settings.retention - now).coerceAtLeast(Duration.ZERO)
+        val explained = crashes.values.filter { it.isExplainedBy(setOf(rejection)) }
+        val (confirmed, silences) = explained.partition { it.isConfirmed }
+        val deciding = if (confirmed.size >= settings.maxCrashes) confirmed else silences
+        val last = deciding.maxOfOrNull { it.at + retention(it.isConfirmed) } ?: return Duration.ZERO
+        return (last - now).coerceAtLeast(Duration.ZERO)
     }
 
     /** Returns the ends of endpoints that [rejection] explains. */
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulRequestGuardTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulRequestGuardTest.kt
@@ -131,6 +131,7 @@
     fun `rejects an unknown part under which three endpoints fell silent, until the silences are over`() {
         (1..3).forEach { guard.onSilent(at(it * 200), process(it), listOf(traits("bad", "c$it"))) }
         expectThat(guard.rejections).isEqualTo(setOf(traits("bad")))
+        expectThat(guard.rejectedFor(at(600), traits("bad"))).isEqualTo(6.seconds)
         expectThat(guard.lastingNews(at(700)).crashes.map { it.isConfirmed }).isEqualTo(List(3) { false })
         guard.onSignOfLife(process(1))
         expectThat(guard.rejections).isEmpty()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
@@ -115,7 +115,7 @@
         probe(Address.parse(endpoint.address)) { result ->
             when (result) {
                 ProbeResult.OPEN -> silent.remove(endpoint.process)
-                ProbeResult.CLOSED -> report(endpoint, observation = "connection")
+                ProbeResult.CLOSED -> reportClosed(endpoint)
                 ProbeResult.NO_ANSWER -> reportSilent(endpoint)
             }
         }
@@ -123,7 +123,7 @@
 
     private fun reportSilent(endpoint: RelayEndpoint) {
         if (endpoint.process !in silent) return
-        val crash = broken.at(endpoint.process)?.let { crash(endpoint, it) } ?: return
+        val crash = broken.at(endpoint.process)?.let { crash(endpoint, it.since, it) } ?: return
         EventLog.info(
             "endpoint silent and out of reach",
             "endpoint" to endpoint.id,
@@ -154,7 +154,7 @@
                 // A process that leaves may end whatever it runs.
                 RegistrationState.LEAVING -> broken.forget(process)
 
-                RegistrationState.GONE -> if (process !in open) report(endpoint, observation = "registration")
+                RegistrationState.GONE -> if (process !in open) reportRemoved(endpoint)
             }
         }
     }
@@ -171,7 +171,7 @@
         val process = losses.endpoint.process
         if (process !in broken.processes || process in open) return
         probe(Address.parse(losses.endpoint.address)) { result ->
-            if (result != ProbeResult.OPEN) report(losses.endpoint, observation = "connection", lost = losses.count)
+            if (result != ProbeResult.OPEN) reportClosed(losses.endpoint, losses.count)
         }
     }
 
@@ -180,26 +180,43 @@
         isReachable: Boolean,
     ) {
         open.remove(losses.endpoint.process)
-        if (!isReachable) report(losses.endpoint, observation = "connection", lost = losses.count)
+        if (!isReachable) reportClosed(losses.endpoint, losses.count)
         losses.release()
     }
 
-    private fun report(
+    private fun reportClosed(
         endpoint: RelayEndpoint,
-        observation: String,
         lost: Int = 0,
     ) {
+        val ended = takeAll(endpoint) ?: return
+        report(crash(endpoint, at = monotonicNow(), ended), observation = "connection", lost)
+    }
+
+    /** The process ended some seconds before its registration was removed. */
+    private fun reportRemoved(endpoint: RelayEndpoint) {
+        val ended = takeAll(endpoint) ?: return
+        report(crash(endpoint, at = ended.since, ended), observation = "registration", lost = 0)
+    }
+
+    private fun takeAll(endpoint: RelayEndpoint): AttemptsOfEnded? {
         suspects.remove(endpoint.process)
         silent.remove(endpoint.process)
-        val ended = broken.takeAll(endpoint.process) ?: return
-        val crash = crash(endpoint, ended)
+        return broken.takeAll(endpoint.process)
+    }
+
+    private fun report(
+        crash: EndpointCrash,
+        observation: String,
+        lost: Int,
+    ) {
+        val endpoint = crash.endpoint
         EventLog.info(
             "endpoint ended",
             "endpoint" to endpoint.id,
             "address" to endpoint.address,
             "started_at" to endpoint.startedAt,
             "observed_by" to observation,
-            "broken_ms" to (monotonicNow() - ended.since).inWholeMilliseconds,
+            "age_ms" to (monotonicNow() - crash.at).inWholeMilliseconds,
             "lost" to lost,
             "unanswered" to crash.unanswered.size,
             "begun" to crash.begun.size,
@@ -210,11 +227,12 @@
 
     private fun crash(
         endpoint: RelayEndpoint,
+        at: Timestamp,
         ended: AttemptsOfEnded,
     ): EndpointCrash {
         val (begun, unanswered) = ended.attempts.partition { it.isBegun }
         val contents = begun.flatMap { it.traits }.filterTo(LinkedHashSet()) { it.isContent }
-        return EndpointCrash(endpoint, ended.since, unanswered.map { it.traits }, contents)
+        return EndpointCrash(endpoint, at, unanswered.map { it.traits }, contents)
     }
 
     private fun mostFrequent(requests: List<Set<RequestTrait>>): List<Map.Entry<RequestTrait, Int>> {
