--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.relay
 
+import oriolespindle.core.admission.Priority
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.placement.ModelLayout
@@ -30,8 +31,12 @@
     public val limits: CallerLimits = CallerLimits(),
     /** The team of each key; null when requests carry no keys. */
     private val teamsByKey: Map<String, TeamId>? = null,
+    /** The priorities of the teams that have one, which go before those of routes. */
+    private val teamPriorities: Map<TeamId, Priority> = emptyMap(),
 ) {
     private val routeTable = RouteTable(routes)
+    private val routesByService =
+        routes.flatMap { route -> route.targets.map { it.service to route } }.groupBy({ it.first }, { it.second })
     private val servicesById = services.associateBy { it.id }
 
     /** The services with a model, whose layers are placed on engines. */
@@ -55,6 +60,22 @@
     /** Returns the service [id], or null when this version does not have it. */
     public fun service(id: ServiceId): RelayService? = servicesById[id]
 
+    /** Returns the priority of requests of [team] on [route]; a null team is that of a request without a key. */
+    public fun priority(
+        route: Route,
+        team: TeamId?,
+    ): Priority = team?.let(teamPriorities::get) ?: route.priority ?: Priority.DEFAULT
+
+    /** Returns whether requests for [service] can differ in priority. */
+    public fun hasPriorities(service: ServiceId): Boolean = service in prioritizedServices
+
+    private val prioritizedServices: Set<ServiceId> =
+        routesByService
+            .filterValues { routes ->
+                val ofRoutes = routes.map { it.priority ?: Priority.DEFAULT }
+                (ofRoutes + teamPriorities.values).distinct().size > 1
+            }.keys
+
     /** Returns the team that owns [key], or null if the key is not known. */
     public fun team(key: String): TeamId? = teamsByKey?.get(key)
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/Route.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/Route.kt
@@ -1,5 +1,6 @@
 package oriolespindle.core.relay
 
+import oriolespindle.core.admission.Priority
 import oriolespindle.core.id.ServiceId
 import kotlin.time.Duration
 
@@ -39,6 +40,10 @@
     public val isPublic: Boolean = false,
     /** Whether another endpoint may continue a broken stream after the last delivered event. */
     public val isResumable: Boolean = false,
+    /** The urgency of the route's requests; null if the operator states none. */
+    public val priority: Priority? = null,
+    /** The longest gap between two events of a stream with which its answer is in time; null if none is set. */
+    public val maxEventGap: Duration? = null,
 ) {
     /** Whether a request may be retried even if it may have run. */
     public val isRetryable: Boolean
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import oriolespindle.core.relay.ByteQuota
 import oriolespindle.core.relay.GrowingBuffer
+import oriolespindle.core.time.Timestamp
 import oriolespindle.router.runtime.monotonicNow
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -83,18 +84,26 @@
     /** Returns a buffer for the body of one answer that is used only when it is complete. */
     public fun newAnswerBuffer(): GrowingBuffer = GrowingBuffer(buffers, settings.maxAnswerBytes)
 
-    /** Sends [request] and collects the complete response; [result] is called once, on an event loop thread. */
+    /**
+     * Sends [request] and collects the complete response; [result] is called once, on an event loop thread.
+     *
+     * The call is given up after [timeout] unless a response is arriving then and [transfer] allows it more time.
+     */
     public fun call(
         request: ClientRequest,
         timeout: Duration,
+        transfer: TransferLimits? = null,
         result: (HttpOutcome) -> Unit,
     ) {
         val body = newAnswerBuffer()
+        val startedAt = monotonicNow()
+        var receivedAt: Timestamp? = null
         var status = 0
         var isOversized = false
         var call: ClientCall? = null
         call =
-            send(request, timeout) { event ->
+            send(request) { event ->
+                receivedAt = monotonicNow()
                 when (event) {
                     is ClientEvent.Head -> {
                         status = event.status
@@ -125,6 +134,23 @@
                 }
                 true
             }
+        failAfter(call, timeout) {
+            val now = monotonicNow()
+            receivedAt?.let { transfer?.timeLeft(startedAt + timeout, it, now) } ?: Duration.ZERO
+        }
+    }
+
+    /** Fails [call] after [delay], or later if [timeLeft] then allows it more time. */
+    private fun failAfter(
+        call: ClientCall,
+        delay: Duration,
+        timeLeft: () -> Duration,
+    ) {
+        val check: () -> Unit = {
+            val left = timeLeft()
+            if (left > Duration.ZERO) failAfter(call, left, timeLeft) else call.fail(FailureKind.TIMEOUT)
+        }
+        group.next().schedule(check, delay.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS)
     }
 
     /** Closes the pooled connections that have been idle for the maximum idle time. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -122,6 +122,7 @@
             if (isNewer) "configuration in force" else "older configuration ignored",
             "version" to configuration.version,
             "previous" to previous,
+            "prioritized" to configuration.serviceIds.filter(configuration::hasPriorities),
             "revision" to revision,
             "store_age_ms" to context.configurationContact.age?.inWholeMilliseconds,
         )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaderNames.kt
@@ -24,6 +24,10 @@
     public val tokens: String,
     /** The parts of the prompt in order, each as an id, a colon and a number of tokens, separated by commas. */
     public val promptParts: String,
+    /** The caller's estimate of the number of answer tokens. */
+    public val lengthHint: String? = null,
+    /** The priority of a request, 0 to 9, by which endpoints order what waits; only this system sets it. */
+    public val priority: String? = null,
     /** Further headers that only this system may set; dropped from requests of callers. */
     public val reserved: Set<String> = emptySet(),
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaders.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayHeaders.kt
@@ -8,7 +8,8 @@
 internal class RelayHeaders(
     private val names: RelayHeaderNames,
 ) {
-    private val ownNames = names.reserved + setOf(names.team, names.expectedEndpoint, names.path)
+    private val ownNames =
+        names.reserved + setOfNotNull(names.team, names.expectedEndpoint, names.path, names.priority)
 
     /** Returns the headers of a caller's request to send to an endpoint, without the key if [dropKey] is set. */
     fun forEndpoint(
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/CutAnswerOfClientTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/CutAnswerOfClientTest.kt
@@ -53,7 +53,7 @@
     fun `reports a call as lost`() {
         val unexpected =
             unexpected<HttpOutcome>(AnswerForm.ofCalls, { it == HttpOutcome.Lost }) { address, cut, result ->
-                http.call(ClientRequest(address, cut.method, "/"), 5.seconds, result)
+                http.call(ClientRequest(address, cut.method, "/"), 5.seconds, result = result)
             }
         expectThat(unexpected).isEmpty()
     }
