--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/FairQueue.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/FairQueue.kt
@@ -74,7 +74,7 @@
         while (byDeadline.isNotEmpty() && byDeadline.first().firstStartBy < now) expireFirst(now, byDeadline.first())
         for (queue in byStartTag.toList()) {
             advanceRates(now, queue)
-            expireUnreachable(now, queue)
+            if (settings.refusesUnreachable) expireUnreachable(now, queue)
         }
         val expired = expiredEntries.toList()
         expiredEntries.clear()
@@ -122,6 +122,42 @@
         cost: TokenCost,
     ): Double = queue(team).estimator.expectedTokens(cost)
 
+    /** Returns the request that [poll] would start next, which may be past its time, or null if none is waiting. */
+    public fun peek(): FairEntry<T>? = byStartTag.firstOrNull()?.first()
+
+    /** Returns the request that would start last if no other one arrived, or null if none is waiting. */
+    public fun last(): FairEntry<T>? = byStartTag.maxByOrNull { it.startTag + it.waitingCost / it.weight }?.last()
+
+    /** Removes [entry], which is not charged, and returns whether it was waiting. */
+    public fun remove(
+        now: Timestamp,
+        entry: FairEntry<T>,
+    ): Boolean {
+        val queue = teams[entry.team] ?: return false
+        advanceRates(now, queue)
+        var isRemoved = false
+        update(queue) { isRemoved = queue.remove(entry) }
+        return isRemoved
+    }
+
+    /**
+     * Returns the expected time to serve the waiting requests of [team] that start before one with [startBy], and also
+     * one of [cost] unless it is null; null if no rate has been measured.
+     */
+    public fun expectedWait(
+        now: Timestamp,
+        team: TeamId,
+        startBy: Timestamp,
+        cost: TokenCost? = null,
+    ): Duration? {
+        val queue = queue(team)
+        advanceRates(now, queue)
+        val tokens = queue.costBefore(startBy) + (cost?.let(queue.estimator::expectedTokens) ?: 0.0)
+        if (tokens <= 0.0) return Duration.ZERO
+        val isMeasured = queue.rate.perSecond != null || rate.perSecond != null
+        return if (isMeasured) estimatedTime(queue, tokens) else null
+    }
+
     /** Returns the expected tokens of the waiting requests of each team. */
     public fun waitingTokens(): Map<TeamId, Double> = byStartTag.associate { it.team to it.waitingCost }
 
@@ -140,6 +176,7 @@
                 estimatedTime(queue, queue.estimator.expectedTokens(entry.cost)),
             )
         }
+        if (!settings.refusesUnreachable) return null
         val wait = estimatedTime(queue, queue.costBefore(entry.startBy))
         val lateness = now + wait - entry.startBy
         if (lateness > Duration.ZERO) {
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/FairSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/FairSettings.kt
@@ -14,6 +14,8 @@
  * @property minBusyTime the busy time that must be observed before a measured service rate is used.
  * @property earlyRefusalFactor the ratio of a queued request's estimated wait to the time left until it has to start,
  *   above which it is refused early.
+ * @property refusesUnreachable whether requests that are not expected to start in time are refused; otherwise the user
+ *   of the queue decides with [FairQueue.expectedWait].
  */
 public data class FairSettings(
     public val maxEntries: Int = 100_000,
@@ -21,4 +23,5 @@
     public val rateWindow: Duration = 1.seconds,
     public val minBusyTime: Duration = 100.milliseconds,
     public val earlyRefusalFactor: Double = 1.5,
+    public val refusesUnreachable: Boolean = true,
 )
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/TeamQueue.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/fairness/TeamQueue.kt
@@ -50,6 +50,13 @@
 
     fun removeLast(): FairEntry<T> = onRemoved(entries.pollLastEntry().value)
 
+    /** Removes [entry], which is compared by identity, and returns whether it was waiting. */
+    fun remove(entry: FairEntry<T>): Boolean {
+        val position = entries.entries.firstOrNull { it.value.entry === entry }?.key ?: return false
+        entries.remove(position)?.let(::onRemoved)
+        return true
+    }
+
     /** Returns the approximate cost of the requests that start before one with [startBy]. */
     fun costBefore(startBy: Timestamp): Double {
         val last = costByBucket.lastEntry() ?: return 0.0
