Let streams of services with priorities wait for a slot

If the requests of a service can differ in priority, each attempt carries the priority header, and a stream without a slot waits in the room of its service. A request that ends for any reason (caller left, deadline, rejection, stop, error) leaves the room in onAttemptEnded. One that may have run never waits. After a failed attempt, a request waits only if a path without its failed endpoints is left, and it leaves if it would block a slot that it may not use itself. Services without priorities behave as before.

RelayFixture gets the header name, a number of instances, the metrics and crash news; its defaults for other tests are unchanged, except that the fixture names a priority header, which no other test configures.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -102,6 +102,7 @@
         metrics.gauge("oriolespindle.relay.configuration.version") { context.configuration.current?.version ?: 0 }
         metrics.gauge("oriolespindle.relay.endpoints") { context.directory.size }
         metrics.gauge("oriolespindle.relay.streams") { context.streams.size }
+        metrics.gauge("oriolespindle.relay.waiting") { context.admission.size }
         metrics.gauge("oriolespindle.relay.placement.lease") { if (holdsPlacementLease) 1 else 0 }
         metrics.gauge("oriolespindle.relay.instances") { context.budgets.instances ?: 0 }
     }
@@ -129,6 +130,9 @@
         if (!isNewer) return
         callers.settings = serverSettings(configuration)
         context.durations.retain(configuration.routeNames, configuration.serviceIds)
+        context.firstEvents.retain(configuration.routeNames)
+        context.admission.retain(configuration.serviceIds)
+        context.admission.evaluateAllSoon()
         frontEnd.onStateChanged()
     }
 
@@ -155,17 +159,20 @@
         frontEnd.onStateChanged()
         context.paces.retain(registered)
         context.losses.checkRegistrations()
+        context.admission.evaluateAllSoon()
     }
 
     /** Adds or updates one registered endpoint. */
     public fun putEndpoint(endpoint: RelayEndpoint) {
         logChange(endpoint.id, context.directory.put(endpoint), endpoint.revision)
+        context.admission.evaluateAllSoon()
     }
 
     /** Removes the registration of an endpoint. */
     public fun removeEndpoint(id: EndpointId) {
         val known = context.directory.find(id)?.revision
         logChange(id, context.directory.remove(monotonicNow(), id), known)
+        context.admission.evaluateAllSoon()
     }
 
     /** Called with the [head] of each answer to a control call to [endpoint]; relayed requests report theirs. */
@@ -207,6 +214,7 @@
         context.budgets.instances = all
         context.load.instances = inZone
         context.concurrency.instances = inZone
+        context.admission.evaluateAllSoon()
         placement?.onInstanceCountChanged(all)
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.relay
 
+import oriolespindle.core.admission.FirstEventTimes
 import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.lifecycle.StoppingPeers
@@ -45,6 +46,8 @@
     val concurrency = ConcurrencyLimits()
     val refusalSharing = RefusalSharing()
     val durations = AnswerDurations()
+    val firstEvents = FirstEventTimes()
+    val admission = AdmissionQueue(timers, metrics)
     val stoppingPeers = StoppingPeers()
     val harmful = HarmfulRequests(timers, metrics, send = { shareCrashNews(it) }, ::endRejectedRequests)
     val losses: EndpointLosses =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayFrontEnd.kt
@@ -109,17 +109,20 @@
                 ?.toLongOrNull()
                 ?.coerceAtLeast(0)
                 ?.milliseconds
+        val requestTeam = team.takeUnless { route.isPublic }
         val request =
             RelayRequest(
                 exchange = exchange,
                 id = id,
                 route = route,
                 service = service,
-                team = team.takeUnless { route.isPublic },
+                team = requestTeam,
                 dropKey = configuration.requiresKeys,
                 arrivedAt = arrivedAt,
                 expiry = arrivedAt + minOf(callerTimeout ?: route.timeout, route.timeout),
                 traits = RequestTraits(exchange, service.id, team, exchange.header(context.names.promptParts)),
+                priority =
+                    configuration.priority(route, requestTeam).takeIf { configuration.hasPriorities(service.id) },
             )
         context.budgets.onRequest(monotonicNow(), service.id)
         if (shutdown.stoppingFor?.let { acceptsLate(request, it) } == false) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import oriolespindle.core.admission.Priority
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 import kotlin.time.toJavaDuration
@@ -16,6 +17,7 @@
     private val firstEvent = timer("oriolespindle.relay.first.event")
     private val answer = timer("oriolespindle.relay.answer")
     private val storeIntervals = HashMap<String, Timer>()
+    private val waited = HashMap<Int, Timer>()
 
     /** Counts a request that ended with [outcome], which is one of `done`, `refused`, `failed`, `cut` and `left`. */
     public fun onRequestEnded(
@@ -29,8 +31,26 @@
     /** Records the time until the first event, or the complete answer, of a request was sent to the caller. */
     public fun onAnswerBegun(after: Duration): Unit = firstEvent.record(after.toJavaDuration())
 
-    /** Counts a request that did not run because of [reason]. */
-    public fun onRefused(reason: String): Unit = count("oriolespindle.relay.refusals", "reason", reason)
+    /** Counts a request that did not run because of [reason], and by its [priority] if it has one. */
+    public fun onRefused(
+        reason: String,
+        priority: Priority? = null,
+    ) {
+        count("oriolespindle.relay.refusals", "reason", reason)
+        if (priority != null) count("oriolespindle.relay.priority.refusals", PRIORITY, label(priority).toString())
+    }
+
+    /** Records that a request of [priority] has waited [duration] for a free slot, whether it was served or not. */
+    public fun onWaited(
+        priority: Priority,
+        duration: Duration,
+    ) {
+        val level = label(priority)
+        val timer = waited.getOrPut(level) { timer("oriolespindle.relay.waited", PRIORITY, level.toString()) }
+        timer.record(duration.toJavaDuration())
+    }
+
+    private fun label(priority: Priority): Int = minOf(priority.level, MAX_PRIORITY)
 
     /** Counts a retry caused by [reason]. */
     public fun onRetry(reason: String): Unit = count("oriolespindle.relay.retries", "reason", reason)
@@ -100,6 +120,10 @@
             .register(registry)
 
     private companion object {
+        const val PRIORITY = "priority"
+
+        /** Less urgent priorities share its label, so that the label has ten values. */
+        const val MAX_PRIORITY = 9
         const val MEDIAN = 0.5
         const val TAIL = 0.95
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayRequest.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayRequest.kt
@@ -1,5 +1,6 @@
 package oriolespindle.router.relay
 
+import oriolespindle.core.admission.Priority
 import oriolespindle.core.id.RequestId
 import oriolespindle.core.id.TeamId
 import oriolespindle.core.relay.RelayService
@@ -19,4 +20,6 @@
     /** The caller's deadline or the end of the route's timeout, whichever is earlier. */
     val expiry: Timestamp,
     val traits: RequestTraits,
+    /** The urgency of the request; null if all requests of its service have the same. */
+    val priority: Priority? = null,
 )
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -193,7 +193,7 @@
         val remaining = expiry - monotonicNow()
         val ownHeaders =
             headers + (names.deadline to remaining.inWholeMilliseconds.coerceAtLeast(1).toString()) +
-                (names.expectedEndpoint to endpoint.id.value)
+                (names.expectedEndpoint to endpoint.id.value) + priorityHeader()
         val outgoing =
             ClientRequest(
                 address = Address.parse(endpoint.address),
@@ -223,6 +223,13 @@
         call = current
     }
 
+    private fun priorityHeader(): List<Pair<String, String>> {
+        val name = context.names.priority
+        val priority = request.priority
+        if (name == null || priority == null) return emptyList()
+        return listOf(name to minOf(priority.level, MAX_SENT_PRIORITY).toString())
+    }
+
     /** Runs [action] after [limit] unless the attempt in progress has ended; replaces an earlier [action]. */
     protected fun watchAttempt(
         limit: Duration,
@@ -348,9 +355,12 @@
      * It depends on the request's id, so that the callers of a pause do not all return at its end. It is bounded, since
      * the pause concerns this instance alone and callers return to any.
      */
-    private fun spread(pause: Duration): Duration {
+    private fun spread(pause: Duration): Duration = increasedById(minOf(pause, context.times.maxRetryAfterPause))
+
+    /** Returns [delay] plus up to half of it, which depends on the request's id. */
+    protected fun increasedById(delay: Duration): Duration {
         val fraction = Math.floorMod(request.id.value.hashCode(), SPREAD_STEPS) / SPREAD_STEPS.toDouble()
-        return minOf(pause, context.times.maxRetryAfterPause) * (1 + MAX_SPREAD * fraction)
+        return delay * (1 + MAX_SPREAD * fraction)
     }
 
     private fun retry(reason: String) {
@@ -382,7 +392,7 @@
         reason: String,
         retryAfter: Duration?,
     ) {
-        context.metrics.onRefused(reason)
+        context.metrics.onRefused(reason, request.priority)
         end(REFUSED, reason)
         exchange.respond(RelayAnswers.refusal(reason, retryAfter))
     }
@@ -482,6 +492,9 @@
         private const val SPREAD_STEPS = 1_000
         private const val MAX_SPREAD = 0.5
 
+        /** Endpoints know the priorities 0 to 9. */
+        private const val MAX_SENT_PRIORITY = 9
+
         /** Maps a failure of the HTTP client; only a request that was never sent certainly did not run. */
         fun endOf(event: ClientEvent.Failed): AttemptEnd = if (event.sent) AttemptEnd.Unknown else AttemptEnd.NotSent
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -30,6 +30,10 @@
     private val reader = StreamReader(position, quota = context.http.buffers)
     private val failureBody = context.http.newAnswerBuffer()
     private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
+    private val slotRequest: SlotRequest? =
+        request.priority?.let { priority ->
+            SlotRequest(request, priority, tokens, ::startWaiting) { refuseWaiting(it) }
+        }
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
     private var head: ClientEvent.Head? = null
@@ -58,11 +62,21 @@
     override fun canResend(): Boolean = model != null || answerBegun || super.canResend()
 
     override fun startAttempt() {
+        val waiting = slotRequest
+        if (waiting != null && mayWait && context.admission.goesAhead(waiting)) {
+            waitForSlot(waiting, isUntried = true)
+            return
+        }
         val target = chooseTarget()
         if (target == null) {
             onNoTarget()
-            return
+        } else {
+            startAt(target)
         }
+    }
+
+    private fun startAt(target: RelayEndpoint) {
+        slotRequest?.let(context.admission::onStarted)
         first = target
         startedAt = monotonicNow()
         awaitsFirstEvent = true
@@ -117,13 +131,63 @@
     }
 
     private fun onNoTarget() {
-        if (hasPath && !history.mayHaveRun && !answerBegun) {
-            refuse("overloaded", context.times.retryAfterOverload)
+        val waiting = slotRequest
+        when {
+            !hasPath || !mayWait -> onNoEndpoint("no_path")
+            waiting != null -> waitForSlot(waiting, isUntried = false)
+            else -> refuse("overloaded", context.times.retryAfterOverload)
+        }
+    }
+
+    /** Whether the request has certainly not run, so that it may wait and be refused afterwards. */
+    private val mayWait: Boolean get() = !history.mayHaveRun && !answerBegun
+
+    private fun waitForSlot(
+        waiting: SlotRequest,
+        isUntried: Boolean,
+    ) {
+        if (hasPathLeft()) {
+            context.admission.offer(waiting, waiting.limits(context.firstEvents, expiry), isUntried)
         } else {
-            onNoEndpoint("no_path")
+            refuse("overloaded", context.times.retryAfterOverload)
         }
     }
 
+    /** Whether some path is left to wait for, after attempts that have failed. */
+    private fun hasPathLeft(): Boolean = !hasFailedAttempts || findPath(avoid, ::mayReceive) != null
+
+    /** Starts the first waiting stream in order if a slot is free, and ends its wait if it cannot be served. */
+    private fun startWaiting() =
+        guarded {
+            val target = chooseTarget()
+            if (target != null) {
+                startAt(target)
+            } else if (!hasPath) {
+                slotRequest?.let(context.admission::remove)
+                onNoTarget()
+            } else if (isSlotOfOthers()) {
+                refuse("overloaded", increasedById(context.times.retryAfterOverload))
+            }
+        }
+
+    private fun refuseWaiting(retryAfter: Duration) =
+        guarded { if (!ended) refuse("overloaded", increasedById(retryAfter)) }
+
+    /** Whether a slot is free that this request may not use after its earlier attempts; it would block all others. */
+    private fun isSlotOfOthers(): Boolean =
+        hasFailedAttempts && findPath(emptySet()) { context.concurrency.canStart(monotonicNow(), it) } != null
+
+    private val hasFailedAttempts: Boolean get() = avoid.isNotEmpty() || history.sends > 0
+
+    private fun findPath(
+        avoided: Set<EndpointId>,
+        mayBeFirst: (EndpointId) -> Boolean,
+    ): LayerPath? {
+        val layout = model ?: return null
+        val usable = context.directory.usable(monotonicNow(), request.service.id)
+        return context.paths.find(layout, usable, ::loadOf, avoided, mayBeFirst = mayBeFirst)
+    }
+
     /** For a model, the pause of the path that can be used if paused endpoints count as usable, and not otherwise. */
     override fun commonPause(): Duration? {
         val layout = model ?: return super.commonPause()
@@ -140,7 +204,11 @@
         path = null
         failureBody.clear()
         reader.onRunEnded()
-        first?.let { context.concurrency.onStreamEnded(monotonicNow(), it.id) }
+        slotRequest?.let(context.admission::remove)
+        first?.let {
+            context.concurrency.onStreamEnded(monotonicNow(), it.id)
+            context.admission.evaluateSoon(request.service.id)
+        }
         context.streams -= this
         first = null
     }
@@ -195,6 +263,7 @@
     /** Called before [count] events of the run in progress are passed on. */
     private fun onEvents(count: Int) {
         if (forwardedEvents == 0) {
+            context.firstEvents.onFirstEvent(request.route.name, elapsed(startedAt))
             context.metrics.onAnswerBegun(elapsed(request.arrivedAt))
             beginAnswer(checkNotNull(head))
         }
@@ -227,6 +296,7 @@
         } else {
             context.concurrency.onFirstEvent(monotonicNow(), target.id, latency, objective)
         }
+        context.admission.evaluateSoon(request.service.id)
     }
 
     private fun pollPaces() {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -3,6 +3,7 @@
 import oriolespindle.core.config.ObjectKey
 import oriolespindle.core.config.WriteAction
 import oriolespindle.core.config.WriteEvent
+import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.id.LayerRange
 import oriolespindle.core.id.ServiceId
@@ -35,6 +36,8 @@
     private val shutdown: ShutdownSettings =
         ShutdownSettings(100.milliseconds, 50.milliseconds, 200.milliseconds, 50.milliseconds),
     private val retryBurst: Int = 1_000,
+    /** The instances that use the same endpoints; each of 72 may start one stream at an endpoint. */
+    instancesInZone: Int = 1,
 ) : AutoCloseable {
     val stopped = CountDownLatch(1)
     private val relay = Relay(settings()) { stopped.countDown() }
@@ -55,7 +58,7 @@
     val paces: MutableMap<String, Double> = ConcurrentHashMap()
 
     init {
-        onLoop { relay.onInstanceCountChanged(all = 1, inZone = 1) }
+        onLoop { relay.onInstanceCountChanged(all = 1, inZone = instancesInZone) }
     }
 
     fun configure(
@@ -77,8 +80,13 @@
         address: Address,
     ) = onLoop { relay.setPeers(mapOf(InstanceId(id) to address)) }
 
+    fun readCrashNews(news: CrashNews) = onLoop { relay.onStoredCrashNews("news", news, Duration.ZERO) }
+
     fun shutDown(requestedAt: Timestamp = monotonicNow()) = onLoop { relay.shutDown(requestedAt) }
 
+    /** Returns all metrics of the relay in the text format. */
+    fun metrics(): String = relay.metrics.scrape()
+
     /** Uses up the retry budget; must be called on the event loop. */
     fun spendRetries() {
         while (relay.budgets.takeRetry(monotonicNow(), ServiceId("s"))) Unit
@@ -189,6 +197,7 @@
                 path = "Path",
                 tokens = "Tokens",
                 promptParts = "Parts",
+                priority = "Priority",
                 reserved = setOf("Reserved"),
             )
 
