Check at once that a request that ended has left the room

Cause: in a trial without the removal in onAttemptEnded, AdmissionQueueTest still passed, since it polled for longer than the request would have waited. The test of a caller that leaves now reads the gauge once the request has ended, and those of a rejection and of a stop read it with their answers.

Runs of AdmissionQueueTest: with the removal 10 of 10 tests pass; in the trial without it the test of a caller that leaves fails (1 waiting). The tests of a rejection and of a stop pass in the trial as well; why was not traced.

--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/AdmissionQueueTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/AdmissionQueueTest.kt
@@ -86,12 +86,14 @@
         waiting: Int,
     ): RawCaller = send(id, priority).also { awaitWaiting(waiting) }
 
-    private fun awaitWaiting(count: Int) {
+    private fun awaitWaiting(count: Int) = await { metric("waiting") == count.toDouble() }
+
+    private fun await(isReached: () -> Boolean) {
         repeat(POLLS) {
-            if (metric("waiting") == count.toDouble()) return
+            if (isReached()) return
             Thread.sleep(POLL_MILLIS)
         }
-        error("${metric("waiting")} requests wait instead of $count")
+        error("not reached, ${metric("waiting")} requests wait")
     }
 
     private fun metric(name: String): Double? =
@@ -158,7 +160,8 @@
         send("first", 1)
         engine.nextRequest()
         sendWaiting("left", 0, waiting = 1).close()
-        awaitWaiting(0)
+        await { "oriolespindle_relay_requests_total{outcome=\"left\"} 1" in relay.metrics() }
+        expectThat(metric("waiting")).isEqualTo(0.0)
         val next = sendWaiting("next", 1, waiting = 1)
         release.release(MANY)
 
@@ -189,6 +192,7 @@
 
         expectThat(refused.status).isEqualTo(503)
         expectThat(refused.body).contains("stopping")
+        expectThat(metric("waiting")).isEqualTo(0.0)
         expectThat(engine.requests).hasSize(1)
     }
 
@@ -205,6 +209,7 @@
 
         expectThat(refused.status).isEqualTo(503)
         expectThat(refused.body).contains("quarantined")
+        expectThat(metric("waiting")).isEqualTo(0.0)
         expectThat(engine.requests).hasSize(1)
     }
 
