Weigh other zones only if they can be cheaper; one lookup per endpoint

Change: the load of an endpoint is in one object, and PathFinder looks at other zones only if the fastest accelerator without load could make up for the penalty; the result is the same.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/ReportedLoad.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/ReportedLoad.kt
@@ -4,8 +4,10 @@
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
 
-/** The last loads that instances or zones have reported, and their sum for each endpoint, until they expire. */
-internal class ReportedLoad<K : Any> {
+/** The last loads that instances or zones have reported, until they expire; [add] adds a value to a sum of them. */
+internal class ReportedLoad<K : Any>(
+    private val add: (EndpointId, Long) -> Unit,
+) {
     private class Entry(
         val values: Map<EndpointId, Long>,
         val receivedAt: Timestamp,
@@ -13,20 +15,12 @@
     )
 
     private val entries = HashMap<K, Entry>()
-    private val sums = HashMap<EndpointId, Long>()
-
-    /** The sum over all endpoints. */
-    var total = 0L
-        private set
 
     /** The instances or zones with a valid report. */
     val sources: Set<K> get() = entries.keys
 
-    /** The endpoints with load. */
-    val endpoints: Set<EndpointId> get() = sums.keys
-
-    /** Returns the reported load of [endpoint]. */
-    fun sum(endpoint: EndpointId): Long = sums[endpoint] ?: 0
+    /** The arrival of the oldest valid report; null if there is none. */
+    val oldest: Timestamp? get() = entries.values.minOfOrNull { it.receivedAt }
 
     /** Replaces the report of [source]. */
     fun put(
@@ -35,25 +29,16 @@
         values: Map<EndpointId, Long>,
         validity: Duration,
     ) {
-        entries.put(source, Entry(values, now, now + validity))?.let { add(it.values, -1) }
-        add(values, 1)
+        remove(source)
+        entries[source] = Entry(values, now, now + validity)
+        values.forEach { (endpoint, value) -> add(endpoint, value) }
     }
 
     /** Removes reports that are no longer valid. */
-    fun removeExpired(now: Timestamp) {
-        val expired = entries.filterValues { now > it.validUntil }
-        for ((source, entry) in expired) {
-            entries.remove(source)
-            add(entry.values, -1)
-        }
-    }
+    fun removeExpired(now: Timestamp): Unit = entries.filterValues { now > it.validUntil }.keys.forEach(::remove)
 
     /** Removes all reports. */
-    fun clear() {
-        entries.clear()
-        sums.clear()
-        total = 0
-    }
+    fun clear(): Unit = entries.keys.toList().forEach(::remove)
 
     /** Returns the sources that have reported within [period]. */
     fun heardWithin(
@@ -61,16 +46,7 @@
         period: Duration,
     ): Set<K> = entries.filterValues { now - it.receivedAt <= period }.keys
 
-    /** The arrival of the oldest valid report; null if there is none. */
-    val oldest: Timestamp? get() = entries.values.minOfOrNull { it.receivedAt }
-
-    private fun add(
-        values: Map<EndpointId, Long>,
-        sign: Int,
-    ) {
-        for ((endpoint, value) in values) {
-            total += sign * value
-            sums.merge(endpoint, sign * value) { a, b -> (a + b).takeIf { it > 0 } }
-        }
+    private fun remove(source: K) {
+        entries.remove(source)?.values?.forEach { (endpoint, value) -> add(endpoint, -value) }
     }
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/SharedLoad.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/SharedLoad.kt
@@ -20,13 +20,28 @@
 public class SharedLoad(
     private val settings: LoadSettings = LoadSettings(),
 ) {
-    private val tokens = HashMap<EndpointId, Long>()
-    private val streams = HashMap<EndpointId, Long>()
-    private val sequences = HashMap<InstanceId, Long>()
+    /** The load of one endpoint; all of it in one place, since it is read for each endpoint and request. */
+    private class EndpointLoad {
+        var ownTokens = 0L
+        var peerTokens = 0L
+        var otherZoneTokens = 0L
+        var ownStreams = 0L
+        var peerStreams = 0L
+        val zoneTokens get() = ownTokens + peerTokens
+        val isEmpty get() = zoneTokens == 0L && otherZoneTokens == 0L && ownStreams == 0L && peerStreams == 0L
+    }
+
+    private val loads = HashMap<EndpointId, EndpointLoad>()
     private var ownTotal = 0L
-    private val peerTokens = ReportedLoad<InstanceId>()
-    private val peerStreams = ReportedLoad<InstanceId>()
-    private val otherZones = ReportedLoad<ZoneId>()
+    private var peerTotal = 0L
+    private val sequences = HashMap<InstanceId, Long>()
+    private val peerTokens =
+        ReportedLoad<InstanceId> { endpoint, value ->
+            peerTotal += value
+            change(endpoint) { peerTokens += value }
+        }
+    private val peerStreams = ReportedLoad<InstanceId> { id, value -> change(id) { peerStreams += value } }
+    private val otherZones = ReportedLoad<ZoneId> { id, value -> change(id) { otherZoneTokens += value } }
     private val zoneSequences = HashMap<ZoneId, Pair<InstanceId, Long>>()
 
     /** The number of instances in this instance's zone, at least 1. */
@@ -39,10 +54,10 @@
     public val reportingPeers: Int get() = peerTokens.sources.size
 
     /** The tokens times layers of this instance's requests at each endpoint. */
-    public val ownTokens: Map<EndpointId, Long> get() = HashMap(tokens)
+    public val ownTokens: Map<EndpointId, Long> get() = loads.mapValues { it.value.ownTokens }.filterValues { it > 0 }
 
     /** This instance's streams in progress by the first endpoint of their paths. */
-    public val ownStreams: Map<EndpointId, Long> get() = HashMap(streams)
+    public val ownStreams: Map<EndpointId, Long> get() = loads.mapValues { it.value.ownStreams }.filterValues { it > 0 }
 
     /** The factor that adds the estimate for the instances without a valid report. */
     private val missingFactor: Double
@@ -112,11 +127,13 @@
 
     /** Returns the load that the instances of this zone cause at all endpoints. */
     public fun zoneTokens(): Map<EndpointId, Long> =
-        (tokens.keys + peerTokens.endpoints).associateWith { zoneLoad(it).roundToLong() }
+        loads.filterValues { it.zoneTokens > 0 }.mapValues { (_, load) ->
+            (load.zoneTokens * missingFactor).roundToLong()
+        }
 
     /** Returns the streams in progress of the zone's instances whose paths begin at [endpoint]. */
     public fun streams(endpoint: EndpointId): Double =
-        ((streams[endpoint] ?: 0) + peerStreams.sum(endpoint)) * missingFactor
+        (loads[endpoint]?.let { it.ownStreams + it.peerStreams } ?: 0) * missingFactor
 
     /** Returns the used fraction of [endpoint]'s memory for requests. */
     public fun utilization(
@@ -127,7 +144,8 @@
     ): Double {
         val capacity = model.tokenCapacity(accelerator, layers) * layers
         if (capacity <= 0) return 1.0
-        return (zoneLoad(endpoint) + otherZones.sum(endpoint)) / capacity
+        val load = loads[endpoint] ?: return 0.0
+        return (load.zoneTokens * missingFactor + load.otherZoneTokens) / capacity
     }
 
     /**
@@ -138,15 +156,12 @@
      * [LoadSettings.ownWeight]. A weight above one half keeps the answer to old reports smaller than their deviations.
      */
     public fun choiceFactor(endpoint: EndpointId): Double {
-        val load = zoneLoad(endpoint)
-        if (load <= 0 || ownTotal <= 0) return 1.0
-        val scale = (ownTotal + peerTokens.total) * missingFactor / ownTotal
-        return 1 - settings.ownWeight + settings.ownWeight * scale * (tokens[endpoint] ?: 0) / load
+        val load = loads[endpoint] ?: return 1.0
+        if (load.zoneTokens <= 0 || ownTotal <= 0) return 1.0
+        val scale = (ownTotal + peerTotal).toDouble() / ownTotal
+        return 1 - settings.ownWeight + settings.ownWeight * scale * load.ownTokens / load.zoneTokens
     }
 
-    private fun zoneLoad(endpoint: EndpointId): Double =
-        ((tokens[endpoint] ?: 0) + peerTokens.sum(endpoint)) * missingFactor
-
     private fun add(
         path: LayerPath,
         count: Int,
@@ -154,16 +169,18 @@
     ) {
         for (part in path.parts) {
             val value = sign * count.toLong() * part.layers.size
-            tokens.addTo(part.endpoint.id, value)
             ownTotal += value
+            change(part.endpoint.id) { ownTokens += value }
         }
-        streams.addTo(path.first.id, sign.toLong())
+        change(path.first.id) { ownStreams += sign }
     }
 
-    private fun HashMap<EndpointId, Long>.addTo(
+    private inline fun change(
         endpoint: EndpointId,
-        value: Long,
+        action: EndpointLoad.() -> Unit,
     ) {
-        merge(endpoint, value) { a, b -> (a + b).takeIf { it > 0 } }
+        val load = loads.getOrPut(endpoint) { EndpointLoad() }
+        load.action()
+        if (load.isEmpty) loads.remove(endpoint)
     }
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/placement/PathFinder.kt
@@ -60,20 +60,19 @@
         mayBeFirst: (EndpointId) -> Boolean = { true },
         balance: PathBalance? = null,
     ): LayerPath? {
-        val usable =
-            endpoints.filter { endpoint ->
-                val hasLayers = endpoint.layers?.let { it in model } ?: false
-                hasLayers && endpoint.accelerator in model.accelerators && endpoint.id !in avoid
-            }
-        val zones = usable.groupBy { it.zone }
+        val mayUse = { endpoint: RelayEndpoint -> isUsable(model, endpoint) && endpoint.id !in avoid }
         val weigh = { endpoint: RelayEndpoint, load: Double -> holder(model, endpoint, load, pace, balance) }
         val known = { endpoint: RelayEndpoint -> weigh(endpoint, load(endpoint.id)) }
-        val own = zones[zone]?.let { shortest(model, it, known, mayBeFirst) }
+        val ownMembers = endpoints.filter { it.zone == zone && mayUse(it) }
+        val own = shortest(model, ownMembers, known, mayBeFirst)
+        if (own != null && !mayOtherZoneBeCheaper(model, own)) return own
+        val usable = endpoints.filter(mayUse)
         val other =
-            zones
+            usable
+                .groupBy { it.zone }
                 .filter { (other, members) -> other != zone && mayBeCheaper(model, members, own) }
                 .mapNotNull { (other, members) ->
-                    val least = if (balance?.isKnown(other) == false) meanLoad(zones[zone], load) else 0.0
+                    val least = if (balance?.isKnown(other) == false) meanLoad(ownMembers, load) else 0.0
                     shortest(model, members, { weigh(it, maxOf(load(it.id), least)) }, mayBeFirst)
                 }.minByOrNull { it.stepMillis }
         return when {
@@ -83,6 +82,23 @@
         }
     }
 
+    private fun isUsable(
+        model: ModelLayout,
+        endpoint: RelayEndpoint,
+    ): Boolean {
+        val hasLayers = endpoint.layers?.let { it in model } ?: false
+        return hasLayers && endpoint.accelerator in model.accelerators
+    }
+
+    /** Whether the fastest accelerator of [model] without load could make up for the penalty of another zone. */
+    private fun mayOtherZoneBeCheaper(
+        model: ModelLayout,
+        own: LayerPath,
+    ): Boolean {
+        val leastMillis = model.stepMillis * model.accelerators.values.minOf { it.stepFactor }
+        return leastMillis + settings.otherZonePenaltyMillis < own.stepMillis
+    }
+
     /** Whether the fastest accelerator among [members] without load could make up for the penalty of another zone. */
     private fun mayBeCheaper(
         model: ModelLayout,
@@ -223,9 +239,9 @@
     }
 
     private fun meanLoad(
-        members: List<RelayEndpoint>?,
+        members: List<RelayEndpoint>,
         load: (EndpointId) -> Double,
-    ): Double = members?.map { load(it.id) }?.average() ?: 0.0
+    ): Double = if (members.isEmpty()) 0.0 else members.sumOf { load(it.id) } / members.size
 
     private fun loadFactor(load: Double): Double =
         if (load >= settings.fullThreshold) FULL_FACTOR else 1 + settings.loadWeight * load * load
