Share the load of requests between the instances of a zone

Cause: an instance knows only its own requests, so instances of different sizes overload endpoints in turns.

Change: LoadSharing sends the own load to the instances of the zone and the sum of the zone to other zones (fields load and zoneLoad of the datagrams), and lets PathFinder spread requests. Datagrams of up to 65,507 bytes are received, since Netty reads 2,048 bytes by default and a report with many endpoints is longer. The expected answer is the caller's length hint, if there is one, up to the caller's maximum. PathLoad, which had no other user, is removed.

Not run: other tests of the relay, the platform module.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -4,7 +4,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -14,6 +16,8 @@
 import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
+import oriolespindle.core.load.LoadReport
+import oriolespindle.core.load.ZoneLoadReport
 import oriolespindle.core.relay.SharedRefusal
 import oriolespindle.router.http.Address
 import oriolespindle.router.logging.EventLog
@@ -35,6 +39,16 @@
     data class Stopping(
         val instance: InstanceId,
     ) : PeerHint
+
+    /** The load that an instance of the zone causes. */
+    data class Load(
+        val report: LoadReport,
+    ) : PeerHint
+
+    /** The load that the instances of another zone cause. */
+    data class ZoneLoad(
+        val report: ZoneLoadReport,
+    ) : PeerHint
 }
 
 /**
@@ -46,13 +60,15 @@
     private val group: EventLoopGroup,
     private val onReceived: (PeerHint) -> Unit,
 ) {
-    /** Has either an endpoint with the start of its process, a stopping instance, or news about ends of endpoints. */
+    /** Has an endpoint with the start of its process, a stopping instance, news about ends of endpoints, or a load. */
     @Serializable
     private class Message(
         val endpoint: String? = null,
         val startedAt: Long? = null,
         val stopping: String? = null,
         val crashes: CrashNews? = null,
+        val load: LoadReport? = null,
+        val zoneLoad: ZoneLoadReport? = null,
     )
 
     private val format = Json { ignoreUnknownKeys = true }
@@ -74,6 +90,7 @@
             Bootstrap()
                 .group(group)
                 .channel(NioDatagramChannel::class.java)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(Receiver())
                 .bind(address.toSocketAddress())
                 .sync()
@@ -82,10 +99,19 @@
         return Address(address.host, (bound.localAddress() as InetSocketAddress).port)
     }
 
-    /** Sends [hint] once to each instance that it concerns: those of the zone, or all for ends of endpoints. */
+    /**
+     * Sends [hint] once to each instance that it concerns: those of the zone, all for ends of endpoints, and those of
+     * the other zones for the load of this one.
+     */
     fun send(hint: PeerHint) {
         val sender = channel ?: return
-        val receivers = if (hint is PeerHint.Crashes) allPeers else peers
+        val receivers =
+            when (hint) {
+                is PeerHint.Crashes -> allPeers
+                is PeerHint.ZoneLoad -> allPeers - peers.toSet()
+                else -> peers
+            }
+        if (receivers.isEmpty()) return
         val text = format.encodeToString(Message.serializer(), encode(hint))
         val bytes = text.toByteArray()
         receivers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.toSocketAddress())) }
@@ -97,12 +123,16 @@
             is PeerHint.Refusal -> Message(hint.refusal.endpoint.value, hint.refusal.startedAt)
             is PeerHint.Crashes -> Message(crashes = hint.news)
             is PeerHint.Stopping -> Message(stopping = hint.instance.value)
+            is PeerHint.Load -> Message(load = hint.report)
+            is PeerHint.ZoneLoad -> Message(zoneLoad = hint.report)
         }
 
     private fun decode(message: Message): PeerHint {
         message.stopping?.let { return PeerHint.Stopping(InstanceId(it)) }
         message.crashes?.let { return PeerHint.Crashes(it) }
-        val endpoint = requireNotNull(message.endpoint) { "neither an endpoint, a stopping instance nor news" }
+        message.load?.let { return PeerHint.Load(it) }
+        message.zoneLoad?.let { return PeerHint.ZoneLoad(it) }
+        val endpoint = requireNotNull(message.endpoint) { "neither an endpoint, a stopping instance, news nor a load" }
         val startedAt = requireNotNull(message.startedAt) { "no start of the endpoint's process" }
         return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startedAt))
     }
@@ -134,4 +164,9 @@
             EventLog.warn("datagram channel failed", "cause" to cause)
         }
     }
+
+    private companion object {
+        /** The largest payload of a datagram; Netty reads 2,048 bytes by default and drops the rest of the message. */
+        const val MAX_DATAGRAM_BYTES = 65_507
+    }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -56,6 +56,7 @@
         HttpServer(group, serverSettings(null), observer = CallerObserver(), handler = frontEnd::onRequest)
     private val readiness = HttpServer(group) { frontEnd.readiness(it, isReady) }
     private val hints = PeerHintChannel(group, ::onHint)
+    private val loadSharing = LoadSharing(context, settings.instance, send = hints::send)
     private var placement: PlacementComponent? = null
 
     private val isReady: Boolean
@@ -83,6 +84,7 @@
             )
         settings.metrics?.let { readiness.bind(it) }
         context.shareRefusal = { hints.send(PeerHint.Refusal(it)) }
+        if (addresses.refusals != null) loadSharing.start()
         context.shareCrashNews = { hints.send(PeerHint.Crashes(it)) }
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
@@ -222,6 +224,7 @@
         hints.peers = inZone.values.toList()
         hints.allPeers = all.toList()
         context.stoppingPeers.peers = inZone.keys
+        loadSharing.peers = inZone.size
     }
 
     /** Calls [action] whenever [unstoredCrashNews] has something that the store should keep. */
@@ -275,6 +278,8 @@
             is PeerHint.Refusal -> context.directory.onSharedRefusal(monotonicNow(), hint.refusal)
             is PeerHint.Crashes -> context.harmful.onNews(hint.news)
             is PeerHint.Stopping -> context.stoppingPeers.onStopping(monotonicNow(), hint.instance)
+            is PeerHint.Load -> loadSharing.onReport(hint)
+            is PeerHint.ZoneLoad -> loadSharing.onZoneReport(hint)
         }
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -3,8 +3,9 @@
 import oriolespindle.core.crash.CrashNews
 import oriolespindle.core.id.ZoneId
 import oriolespindle.core.lifecycle.StoppingPeers
+import oriolespindle.core.load.SharedLoad
+import oriolespindle.core.placement.PathBalance
 import oriolespindle.core.placement.PathFinder
-import oriolespindle.core.placement.PathLoad
 import oriolespindle.core.relay.AnswerDurations
 import oriolespindle.core.relay.AttemptPolicy
 import oriolespindle.core.relay.ConcurrencyLimits
@@ -40,7 +41,10 @@
     val policy = AttemptPolicy(budgets)
     val selector = EndpointSelector(zone)
     val paths = PathFinder(zone)
-    val load = PathLoad()
+    val load = SharedLoad()
+
+    /** Spreads requests over paths of about the same cost; null unless the instances of the zone share their load. */
+    var balance: PathBalance? = null
     val paces = EndpointPaces()
     val concurrency = ConcurrencyLimits()
     val refusalSharing = RefusalSharing()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
@@ -53,6 +53,9 @@
     /** Counts an endpoint that was found to have ended while requests were at it. */
     public fun onEndpointEnded(): Unit = registry.counter("oriolespindle.relay.endpoints.ended").increment()
 
+    /** Counts an attempt that was sent over a path with endpoints of another zone. */
+    public fun onSentToOtherZone(): Unit = registry.counter("oriolespindle.relay.other.zone.attempts").increment()
+
     /** Counts an order to load layers that ended with [result]. */
     public fun onOrderEnded(result: String): Unit = count("oriolespindle.relay.orders", "result", result)
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTokens.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTokens.kt
@@ -6,24 +6,22 @@
 private const val MAX_TOKENS = 10_000_000
 
 /**
- * Returns the prompt tokens plus the smaller of the typical answer of [model] and the maximum that the caller allows.
+ * Returns the prompt tokens plus the expected answer: the caller's estimate or else the typical answer of [model], and
+ * at most the maximum that the caller allows.
  *
- * [header] has the number of prompt tokens and the maximum number of answer tokens, separated by a comma.
+ * [header] has the number of prompt tokens and the maximum number of answer tokens, separated by a comma; [lengthHint]
+ * is the caller's estimate, which is ignored if it is no number.
  */
 internal fun expectedTokens(
     header: String?,
     model: ModelLayout?,
+    lengthHint: String? = null,
 ): Int {
     val parts = header?.split(',').orEmpty()
-    val tokens = { index: Int ->
-        parts
-            .getOrNull(index)
-            ?.trim()
-            ?.toIntOrNull()
-            ?.coerceIn(0, MAX_TOKENS)
-    }
-    val usualAnswer = model?.typicalAnswerTokens ?: 0
-    val prompt = tokens(0) ?: model?.typicalPromptTokens ?: 0
-    val answer = tokens(1) ?: usualAnswer
-    return prompt + minOf(answer, usualAnswer)
+    val expectedAnswer = lengthHint?.let(::tokenCount) ?: model?.typicalAnswerTokens ?: 0
+    val prompt = parts.getOrNull(0)?.let(::tokenCount) ?: model?.typicalPromptTokens ?: 0
+    val maxAnswer = parts.getOrNull(1)?.let(::tokenCount) ?: expectedAnswer
+    return prompt + minOf(expectedAnswer, maxAnswer)
 }
+
+private fun tokenCount(text: String): Int? = text.trim().toIntOrNull()?.coerceIn(0, MAX_TOKENS)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -29,7 +29,12 @@
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
     private val reader = StreamReader(position, quota = context.http.buffers)
     private val failureBody = context.http.newAnswerBuffer()
-    private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
+    private val tokens =
+        expectedTokens(
+            header = exchange.header(context.names.tokens),
+            model = model,
+            lengthHint = context.names.lengthHint?.let(exchange::header),
+        )
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
     private var head: ClientEvent.Head? = null
@@ -70,7 +75,10 @@
         head = null
         hasBody = false
         reader.onRunStarted(isResumed = answerBegun)
-        path?.let { context.load.onRequestStarted(it, tokens) }
+        path?.let {
+            context.load.onRequestStarted(it, tokens)
+            if (it.parts.any { part -> part.endpoint.zone != context.zone }) context.metrics.onSentToOtherZone()
+        }
         exchange.onWritable = ::onCallerWritable
         val receivers = path?.parts?.map { it.endpoint } ?: listOf(target)
         send(target, pathHeaders(), maxIdle = null, receivers, ::onEvent)
@@ -110,12 +118,19 @@
             mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(now, endpoint))
         }
         path =
-            context.paths.find(model, endpoints, ::loadOf, avoid, ::pace, isOpen)
-                ?: context.paths.find(model, endpoints, ::loadOf, emptySet(), ::pace, isOpen).takeIf { answerBegun }
+            findPath(model, endpoints, avoid, isOpen)
+                ?: findPath(model, endpoints, emptySet(), isOpen).takeIf { answerBegun }
         hasPath = path != null || context.paths.find(model, endpoints, ::loadOf) != null
         return path?.first
     }
 
+    private fun findPath(
+        layout: ModelLayout,
+        endpoints: List<RelayEndpoint>,
+        avoid: Set<EndpointId>,
+        isOpen: (EndpointId) -> Boolean,
+    ): LayerPath? = context.paths.find(layout, endpoints, ::loadOf, avoid, ::pace, isOpen, context.balance)
+
     private fun onNoTarget() {
         if (hasPath && !history.mayHaveRun && !answerBegun) {
             refuse("overloaded", context.times.retryAfterOverload)
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -75,7 +75,11 @@
     fun setPeer(
         id: String,
         address: Address,
-    ) = onLoop { relay.setPeers(mapOf(InstanceId(id) to address)) }
+    ) = setPeers(mapOf(id to address))
+
+    fun setPeers(peers: Map<String, Address>) = onLoop { relay.setPeers(peers.mapKeys { InstanceId(it.key) }) }
+
+    fun metrics(): String = relay.metrics.scrape()
 
     fun shutDown(requestedAt: Timestamp = monotonicNow()) = onLoop { relay.shutDown(requestedAt) }
 
