--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -29,7 +29,12 @@
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
     private val reader = StreamReader(position, quota = context.http.buffers)
     private val failureBody = context.http.newAnswerBuffer()
-    private val tokens = expectedTokens(exchange.header(context.names.tokens), model)
+    private val tokens =
+        expectedTokens(
+            header = exchange.header(context.names.tokens),
+            model = model,
+            lengthHint = context.names.lengthHint?.let(exchange::header),
+        )
     private val slotRequest: SlotRequest? =
         request.priority?.let { priority ->
             SlotRequest(request, priority, tokens, ::startWaiting) { refuseWaiting(it) }
@@ -84,7 +89,10 @@
         head = null
         hasBody = false
         reader.onRunStarted(isResumed = answerBegun)
-        path?.let { context.load.onRequestStarted(it, tokens) }
+        path?.let {
+            context.load.onRequestStarted(it, tokens)
+            if (it.parts.any { part -> part.endpoint.zone != context.zone }) context.metrics.onSentToOtherZone()
+        }
         exchange.onWritable = ::onCallerWritable
         val receivers = path?.parts?.map { it.endpoint } ?: listOf(target)
         send(target, pathHeaders(), maxIdle = null, receivers, ::onEvent)
@@ -124,12 +132,19 @@
             mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(now, endpoint))
         }
         path =
-            context.paths.find(model, endpoints, ::loadOf, avoid, ::pace, isOpen)
-                ?: context.paths.find(model, endpoints, ::loadOf, emptySet(), ::pace, isOpen).takeIf { answerBegun }
+            findPath(model, endpoints, avoid, isOpen)
+                ?: findPath(model, endpoints, emptySet(), isOpen).takeIf { answerBegun }
         hasPath = path != null || context.paths.find(model, endpoints, ::loadOf) != null
         return path?.first
     }
 
+    private fun findPath(
+        layout: ModelLayout,
+        endpoints: List<RelayEndpoint>,
+        avoid: Set<EndpointId>,
+        isOpen: (EndpointId) -> Boolean,
+    ): LayerPath? = context.paths.find(layout, endpoints, ::loadOf, avoid, ::pace, isOpen, context.balance)
+
     private fun onNoTarget() {
         val waiting = slotRequest
         when {
@@ -154,7 +169,7 @@
     }
 
     /** Whether some path is left to wait for, after attempts that have failed. */
-    private fun hasPathLeft(): Boolean = !hasFailedAttempts || findPath(avoid, ::mayReceive) != null
+    private fun hasPathLeft(): Boolean = !hasFailedAttempts || anyPath(avoid, ::mayReceive) != null
 
     /** Starts the first waiting stream in order if a slot is free, and ends its wait if it cannot be served. */
     private fun startWaiting() =
@@ -175,11 +190,11 @@
 
     /** Whether a slot is free that this request may not use after its earlier attempts; it would block all others. */
     private fun isSlotOfOthers(): Boolean =
-        hasFailedAttempts && findPath(emptySet()) { context.concurrency.canStart(monotonicNow(), it) } != null
+        hasFailedAttempts && anyPath(emptySet()) { context.concurrency.canStart(monotonicNow(), it) } != null
 
     private val hasFailedAttempts: Boolean get() = avoid.isNotEmpty() || history.sends > 0
 
-    private fun findPath(
+    private fun anyPath(
         avoided: Set<EndpointId>,
         mayBeFirst: (EndpointId) -> Boolean,
     ): LayerPath? {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -78,7 +78,11 @@
     fun setPeer(
         id: String,
         address: Address,
-    ) = onLoop { relay.setPeers(mapOf(InstanceId(id) to address)) }
+    ) = setPeers(mapOf(id to address))
+
+    fun setPeers(peers: Map<String, Address>) = onLoop { relay.setPeers(peers.mapKeys { InstanceId(it.key) }) }
+
+    fun metrics(): String = relay.metrics.scrape()
 
     fun readCrashNews(news: CrashNews) = onLoop { relay.onStoredCrashNews("news", news, Duration.ZERO) }
 
