--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -68,6 +68,9 @@
         /** When the pause ends that the endpoint has asked for; null if it has asked for none. */
         var pausedUntil: Timestamp? = null
 
+        /** Whether nothing listens at the endpoint's address any more. */
+        var hasEnded = false
+
         fun isPaused(now: Timestamp): Boolean = pausedUntil?.let { now < it } ?: false
 
         fun isBackingOff(now: Timestamp): Boolean = failureBackoff.isActive(now) || refusalBackoff.isActive(now)
@@ -182,6 +185,36 @@
         entries[endpoint]?.failureBackoff?.startFor(now, settings.lostEndpointBackoff)
     }
 
+    /**
+     * Keeps requests from this process of [endpoint], since nothing listens at its address.
+     *
+     * It holds until another process registers, or until [onListening].
+     */
+    public fun onEnded(endpoint: RelayEndpoint) {
+        entryOf(endpoint)?.hasEnded = true
+    }
+
+    /** Records that this process of [endpoint], which was reported to have ended, accepts connections. */
+    public fun onListening(endpoint: RelayEndpoint) {
+        entryOf(endpoint)?.hasEnded = false
+    }
+
+    /**
+     * Starts a backoff of [duration], since [endpoint] does not answer to a connection.
+     *
+     * A longer one stays; returns whether none was active.
+     */
+    public fun onSilent(
+        now: Timestamp,
+        endpoint: EndpointId,
+        duration: Duration,
+    ): Boolean {
+        val backoff = entries[endpoint]?.failureBackoff ?: return false
+        val isNew = !backoff.isActive(now)
+        if (backoff.remaining(now) < duration) backoff.startFor(now, duration)
+        return isNew
+    }
+
     /** Starts a backoff because a request to [endpoint] failed in a way that concerns the whole endpoint. */
     public fun onFailure(
         now: Timestamp,
@@ -295,6 +328,7 @@
         endpoint: RelayEndpoint,
     ): Boolean {
         val entry = entryOf(endpoint) ?: return false
+        if (entry.hasEnded) return false
         return !entry.endpoint.isLeaving && !entry.isPaused(now) && entry.lapsedUntil?.let { now < it } != false
     }
 
@@ -331,7 +365,7 @@
         service: ServiceId,
     ): List<RelayEndpoint> =
         currentEntries(now, service)
-            .filter { !it.endpoint.isLeaving && !it.isPaused(now) && !it.isBackingOff(now) }
+            .filter { !it.endpoint.isLeaving && !it.hasEnded && !it.isPaused(now) && !it.isBackingOff(now) }
             .map { it.endpoint }
 
     /** Returns the endpoints of [service] that have asked for a pause, with the time until each may be used again. */
@@ -340,7 +374,7 @@
         service: ServiceId,
     ): Map<RelayEndpoint, Duration> =
         currentEntries(now, service)
-            .filter { !it.endpoint.isLeaving && it.isPaused(now) }
+            .filter { !it.endpoint.isLeaving && !it.hasEnded && it.isPaused(now) }
             .associate { it.endpoint to it.availableIn(now) }
 
     private fun currentEntries(
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/RelayConfiguration.kt
@@ -69,6 +69,10 @@
     /** Returns whether requests for [service] can differ in priority. */
     public fun hasPriorities(service: ServiceId): Boolean = service in prioritizedServices
 
+    /** Returns whether [service] has a model and a route that states a maximum gap between events. */
+    public fun limitsEventGap(service: ServiceId): Boolean =
+        servicesById[service]?.model != null && routesByService[service].orEmpty().any { it.maxEventGap != null }
+
     private val prioritizedServices: Set<ServiceId> =
         routesByService
             .filterValues { routes ->
