Move streams from engines behind the first of their path that have ended

When an engine behind the first one of a path ends, its streams wait for the limits for silent engines: a stall report after 350 ms without an event, or another run after 1,200 ms if the first engine reports to be alive.

EndpointFailover probes endpoints after refusals that name them, breaks, hints of peers and silences of streams. It reports ends to EndpointLosses with all attempts that depend on them, and only then moves the streams: the harmful request guard decides about each one before it is sent again. PeerHint.Ended tells the zone; receivers probe for themselves. HttpClient.probe takes a timeout and tells failures of the own side (FAILED) from refused connections; EndpointLosses treats both as before. In effect for services with a model on routes with a maximum gap between events.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -21,6 +21,7 @@
 import oriolespindle.core.relay.GrowingBuffer
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.runtime.monotonicNow
+import java.net.ConnectException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -170,9 +171,10 @@
      */
     public fun probe(
         address: Address,
+        timeout: Duration = settings.connectTimeout,
         result: (ProbeResult) -> Unit,
     ) {
-        connect(address).addListener(
+        connect(address, timeout).addListener(
             ChannelFutureListener { future ->
                 if (future.isSuccess) {
                     val check = {
@@ -182,14 +184,24 @@
                     }
                     future.channel().eventLoop().schedule(check, PROBE_MILLIS, TimeUnit.MILLISECONDS)
                 } else {
-                    val isTimeout = future.cause() is ConnectTimeoutException
-                    result(if (isTimeout) ProbeResult.NO_ANSWER else ProbeResult.CLOSED)
+                    result(resultOf(future.cause()))
                 }
             },
         )
     }
 
-    private fun connect(address: Address): ChannelFuture =
+    /** Returns what [failure] of a connection tells; a timeout is a connect exception, too. */
+    private fun resultOf(failure: Throwable): ProbeResult =
+        when (failure) {
+            is ConnectTimeoutException -> ProbeResult.NO_ANSWER
+            is ConnectException -> ProbeResult.CLOSED
+            else -> ProbeResult.FAILED
+        }
+
+    private fun connect(
+        address: Address,
+        timeout: Duration = settings.connectTimeout,
+    ): ChannelFuture =
         Bootstrap()
             .group(group)
             .channel(NioSocketChannel::class.java)
@@ -197,7 +209,7 @@
             // Reports a close by the server apart from one by this side, for example after a failed write.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.RECVBUF_ALLOCATOR, readSizes())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.inWholeMilliseconds.toInt())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt())
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ProbeResult.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ProbeResult.kt
@@ -8,6 +8,9 @@
     /** The host refused or closed the connection, so nothing listens there. */
     CLOSED,
 
+    /** The connection failed for a reason that may lie with this process, such as a lack of sockets or of a route. */
+    FAILED,
+
     /** Nothing answered in time: the host is down or out of reach. */
     NO_ANSWER,
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
@@ -110,12 +110,25 @@
         }
     }
 
+    /**
+     * Reports that the process of [endpoint] has ended while it took part in [attempts], which are in progress.
+     *
+     * Those that broke off before are reported with them. What follows for the attempts can be decided afterwards.
+     */
+    fun onEnded(
+        endpoint: RelayEndpoint,
+        attempts: List<BrokenAttempt>,
+    ) {
+        attempts.forEach { broken.add(monotonicNow(), endpoint.process, it, isSilent = false) }
+        reportClosed(endpoint, lost = open[endpoint.process]?.count ?: 0)
+    }
+
     private fun checkSilent(endpoint: RelayEndpoint) {
         if (!silent.add(endpoint.process)) return
         probe(Address.parse(endpoint.address)) { result ->
             when (result) {
                 ProbeResult.OPEN -> silent.remove(endpoint.process)
-                ProbeResult.CLOSED -> reportClosed(endpoint)
+                ProbeResult.CLOSED, ProbeResult.FAILED -> reportClosed(endpoint)
                 ProbeResult.NO_ANSWER -> reportSilent(endpoint)
             }
         }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import oriolespindle.core.crash.CrashNews
+import oriolespindle.core.crash.EndpointProcess
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.relay.SharedRefusal
@@ -35,6 +36,12 @@
     data class Stopping(
         val instance: InstanceId,
     ) : PeerHint
+
+    /** [from] has found that the process of an endpoint has ended; a receiver probes for itself before it acts. */
+    data class Ended(
+        val process: EndpointProcess,
+        val from: InstanceId,
+    ) : PeerHint
 }
 
 /**
@@ -46,13 +53,18 @@
     private val group: EventLoopGroup,
     private val onReceived: (PeerHint) -> Unit,
 ) {
-    /** Has either an endpoint with the start of its process, a stopping instance, or news about ends of endpoints. */
+    /**
+     * Has either an endpoint with the start of its process, a stopping instance, news about ends of endpoints, or an
+     * ended endpoint with the start of its process and the instance that found it.
+     */
     @Serializable
     private class Message(
         val endpoint: String? = null,
         val startedAt: Long? = null,
         val stopping: String? = null,
         val crashes: CrashNews? = null,
+        val ended: String? = null,
+        val from: String? = null,
     )
 
     private val format = Json { ignoreUnknownKeys = true }
@@ -97,16 +109,35 @@
             is PeerHint.Refusal -> Message(hint.refusal.endpoint.value, hint.refusal.startedAt)
             is PeerHint.Crashes -> Message(crashes = hint.news)
             is PeerHint.Stopping -> Message(stopping = hint.instance.value)
+            is PeerHint.Ended -> encodeEnded(hint)
         }
 
+    private fun encodeEnded(hint: PeerHint.Ended): Message =
+        Message(
+            startedAt = hint.process.startedAt,
+            ended = hint.process.endpoint.value,
+            from = hint.from.value,
+        )
+
     private fun decode(message: Message): PeerHint {
         message.stopping?.let { return PeerHint.Stopping(InstanceId(it)) }
         message.crashes?.let { return PeerHint.Crashes(it) }
+        message.ended?.let {
+            return PeerHint.Ended(
+                EndpointProcess(EndpointId(it), startOf(message)),
+                finderOf(message),
+            )
+        }
         val endpoint = requireNotNull(message.endpoint) { "neither an endpoint, a stopping instance nor news" }
-        val startedAt = requireNotNull(message.startedAt) { "no start of the endpoint's process" }
-        return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startedAt))
+        return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startOf(message)))
     }
 
+    private fun startOf(message: Message): Long =
+        requireNotNull(message.startedAt) { "no start of the endpoint's process" }
+
+    private fun finderOf(message: Message): InstanceId =
+        InstanceId(requireNotNull(message.from) { "no instance that found the end of the endpoint" })
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             ctx: ChannelHandlerContext,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -83,6 +83,7 @@
             )
         settings.metrics?.let { readiness.bind(it) }
         context.shareRefusal = { hints.send(PeerHint.Refusal(it)) }
+        context.failover.start(share = hints::send)
         context.shareCrashNews = { hints.send(PeerHint.Crashes(it)) }
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
@@ -274,6 +275,7 @@
         when (hint) {
             is PeerHint.Refusal -> context.directory.onSharedRefusal(monotonicNow(), hint.refusal)
             is PeerHint.Crashes -> context.harmful.onNews(hint.news)
+            is PeerHint.Ended -> context.failover.onHint(hint)
             is PeerHint.Stopping -> context.stoppingPeers.onStopping(monotonicNow(), hint.instance)
         }
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -50,7 +50,7 @@
     val losses: EndpointLosses =
         EndpointLosses(
             timers,
-            probe = http::probe,
+            probe = { address, result -> http.probe(address, result = result) },
             registrationState = { directory.registrationState(monotonicNow(), it) },
             onCrash = ::onEndpointEnded,
             onSilent = harmful::onSilent,
@@ -91,4 +91,5 @@
     val streams = LinkedHashSet<StreamSession>()
     lateinit var engines: EngineCalls
     val pacePoller = PacePoller(this)
+    val failover = EndpointFailover(this, settings.instance)
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
@@ -15,6 +15,7 @@
     private val counters = HashMap<Triple<String, String, String>, Counter>()
     private val firstEvent = timer("oriolespindle.relay.first.event")
     private val answer = timer("oriolespindle.relay.answer")
+    private val failoverGap = timer("oriolespindle.relay.failover.gap")
     private val storeIntervals = HashMap<String, Timer>()
 
     /** Counts a request that ended with [outcome], which is one of `done`, `refused`, `failed`, `cut` and `left`. */
@@ -53,6 +54,21 @@
     /** Counts an endpoint that was found to have ended while requests were at it. */
     public fun onEndpointEnded(): Unit = registry.counter("oriolespindle.relay.endpoints.ended").increment()
 
+    /** Counts an endpoint whose process was found ended by a probe that was made because of [cause]. */
+    public fun onEndFound(cause: String): Unit = count("oriolespindle.relay.failover.ended", "cause", cause)
+
+    /** Counts an endpoint that did not answer to a probe that was made because of [cause]. */
+    public fun onSilenceFound(cause: String): Unit = count("oriolespindle.relay.failover.silent", "cause", cause)
+
+    /** Counts [streams] that were moved from an endpoint about which probes had made [finding]. */
+    public fun onStreamsMoved(
+        finding: String,
+        streams: Int,
+    ): Unit = repeat(streams) { count("oriolespindle.relay.failover.moved", "finding", finding) }
+
+    /** Records the time from the last event of a moved stream to the first event of its next run. */
+    public fun onMovedStreamGoesOn(after: Duration): Unit = failoverGap.record(after.toJavaDuration())
+
     /** Counts an order to load layers that ended with [result]. */
     public fun onOrderEnded(result: String): Unit = count("oriolespindle.relay.orders", "result", result)
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -238,16 +238,25 @@
         attemptTimer = null
     }
 
-    /** Cancels the call in progress, whose later events are ignored; [silentEndpoint] is why, unless null. */
-    protected fun abandonCall(silentEndpoint: EndpointId? = null) {
+    /**
+     * Cancels the call in progress, whose later events are ignored; [silentEndpoint] is why, unless null.
+     *
+     * Endpoints in [ended] are known to have ended under it.
+     */
+    protected fun abandonCall(
+        silentEndpoint: EndpointId? = null,
+        ended: Set<EndpointId> = emptySet(),
+    ) {
         stopWatching()
         val dropped = call
         call = null
-        if (dropped?.sent == true) context.losses.onAbandoned(receivers, brokenAttempt(), silentEndpoint)
+        if (dropped?.sent == true) {
+            context.losses.onAbandoned(receivers.filter { it.id !in ended }, brokenAttempt(), silentEndpoint)
+        }
         dropped?.cancel()
     }
 
-    private fun brokenAttempt() = BrokenAttempt(request.traits.all, isBegun = isRunAnswered, sentAt)
+    protected fun brokenAttempt(): BrokenAttempt = BrokenAttempt(request.traits.all, isBegun = isRunAnswered, sentAt)
 
     /**
      * Calls [next] after the answer has broken off or made no sense, so that the endpoint may have ended.
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -1,5 +1,10 @@
 package oriolespindle.router.relay
 
+import oriolespindle.core.crash.BrokenAttempt
+import oriolespindle.core.failover.Finding
+import oriolespindle.core.failover.ProbeCause
+import oriolespindle.core.failover.SilenceLimit
+import oriolespindle.core.failover.StreamState
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.placement.LayerPath
 import oriolespindle.core.placement.ModelLayout
@@ -14,6 +19,7 @@
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Relays a request whose answer is a stream of events, from a path of engines or from a plain service.
@@ -50,6 +56,13 @@
     private var lastEventAt = Timestamp.ZERO
     private var awaitsFirstEvent = false
 
+    /** Whether the stream is moved as soon as an endpoint of its path is found to have ended. */
+    private val hasFailover = model != null && request.route.maxEventGap != null
+    private val silence = SilenceLimit()
+
+    /** When the last event before a move was forwarded; null unless the next event is awaited since. */
+    private var movedSince: Timestamp? = null
+
     override val answerBegun: Boolean get() = forwardedEvents > 0
 
     override val receiver: EndpointId? get() = first?.id
@@ -77,6 +90,8 @@
         lastEventAt = startedAt
         context.streams += this
         watchAttempt(context.times.firstEventTimeout, ::onStalled)
+        silence.onWaitStarted(startedAt)
+        if (hasFailover) watchSilence()
     }
 
     /** Stops reading from the endpoint while the caller does not take what was written for it. */
@@ -86,9 +101,70 @@
             return
         }
         lastEventAt = monotonicNow()
+        silence.onWaitStarted(lastEventAt)
         call?.resumeReading()
     }
 
+    /** Has the endpoints of the path probed while no event arrives, until the attempt in progress ends. */
+    private fun watchSilence() {
+        val watched = call
+        // While the caller does not read, the time without an event tells nothing about the endpoints.
+        val remaining = if (exchange.isWritable) silence.remaining(monotonicNow()) else silence.limit
+        context.timers.after(maxOf(remaining, MIN_SILENCE_CHECK)) {
+            guarded { if (!ended && call === watched) onSilenceCheck() }
+        }
+    }
+
+    private fun onSilenceCheck() {
+        val now = monotonicNow()
+        if (exchange.isWritable && silence.remaining(now) == Duration.ZERO) {
+            silence.onProbed(now)
+            path?.parts?.forEach { context.failover.probe(it.endpoint, ProbeCause.SILENCE) }
+        }
+        watchSilence()
+    }
+
+    /** Whether the attempt in progress depends on this process of [endpoint] and may be moved from it. */
+    fun dependsOn(endpoint: RelayEndpoint): Boolean =
+        hasFailover && !ended && call != null &&
+            path?.parts?.any { it.endpoint.id == endpoint.id && it.endpoint.startedAt == endpoint.startedAt } == true
+
+    /** The attempt in progress if it may have reached its endpoints, else null. */
+    fun sentAttempt(): BrokenAttempt? = if (call?.sent == true) brokenAttempt() else null
+
+    /** The time since the last event, or since the start of the run. */
+    val sinceLastEvent: Duration get() = elapsed(lastEventAt)
+
+    /** Sends the request elsewhere if that is allowed, because of [finding] about [lost]; returns whether it is. */
+    fun moveFrom(
+        lost: RelayEndpoint,
+        finding: Finding,
+        endedEndpoints: Set<EndpointId> = emptySet(),
+    ): Boolean {
+        var isMoved = false
+        guarded {
+            isMoved = dependsOn(lost) && context.failover.mayMove(finding, stateWithout(lost.id))
+            if (isMoved) {
+                val sent = call?.sent == true
+                if (answerBegun) movedSince = lastEventAt
+                if (finding == Finding.SILENT) abandonCall(lost.id) else abandonCall(ended = endedEndpoints)
+                val reason = "endpoint_${finding.name.lowercase()}"
+                onAttemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, reason, lost.id)
+            }
+        }
+        return isMoved
+    }
+
+    private fun stateWithout(lost: EndpointId) =
+        object : StreamState {
+            override val isRead get() = exchange.isWritable
+            override val silence get() = sinceLastEvent
+            override val isAnswered get() = isRunAnswered
+            override val isSuspected get() = context.harmful.isSuspected(request.traits)
+            override val mayRunAgain get() = canRestartElsewhere()
+            override val hasOtherPath get() = hasAlternative(lost)
+        }
+
     /** Called when another stream has found that [faulty] does not answer; abandons an attempt that waits for it. */
     fun onEndpointLost(faulty: EndpointId) =
         guarded {
@@ -201,6 +277,9 @@
         forwardedEvents += count
         if (isRunAnswered && reader.runEvents - count < EVENTS_OF_ANSWER) onAnswered()
         lastEventAt = monotonicNow()
+        silence.onEvents(lastEventAt)
+        movedSince?.let { context.metrics.onMovedStreamGoesOn(lastEventAt - it) }
+        movedSince = null
         first?.let(context.losses::onSignOfLife)
         recordFirstEventLatency()
         path?.parts?.forEach { context.directory.onSuccess(it.endpoint.id, startedAt) }
@@ -258,6 +337,7 @@
             }
 
             !isDeliverable(head) -> {
+                probeFirst()
                 afterBreak { onAttemptFailed(AttemptEnd.Unknown, unusableReason(head), first.id) }
             }
 
@@ -299,7 +379,17 @@
         reason: String,
     ) {
         val next = { onAttemptFailed(AttemptEnd.Unknown, reason, first.id) }
-        if (continuation.hasExplicitEnd(head)) next() else afterBreak(next)
+        if (continuation.hasExplicitEnd(head)) {
+            next()
+        } else {
+            probeFirst()
+            afterBreak(next)
+        }
+    }
+
+    /** Has the path's first endpoint probed, since it may have ended and other streams may depend on it. */
+    private fun probeFirst() {
+        if (hasFailover) first?.let { context.failover.probe(it, ProbeCause.BREAK) }
     }
 
     private fun deliverFailure(
@@ -318,12 +408,14 @@
         val now = monotonicNow()
         context.directory.onRefusal(now, faulty.id)
         context.refusalSharing.onRefusal(now, first, faulty)?.let(context.shareRefusal)
+        if (hasFailover && faulty.id != first.id) context.failover.probe(faulty, ProbeCause.REFUSAL)
         onAttemptFailed(AttemptEnd.NotRun, "endpoint_refused", faulty.id)
     }
 
     private fun onFailure(event: ClientEvent.Failed) {
         val failed = first
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
+        if (concernsEndpoint(event) || isBreak(event)) probeFirst()
         val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
         if (isBreak(event)) afterBreak(next) else next()
     }
@@ -431,5 +523,8 @@
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
         const val EVENTS_OF_ANSWER = 2
+
+        /** Bounds how often a stream that is about to be silent is looked at. */
+        val MIN_SILENCE_CHECK = 5.milliseconds
     }
 }
