--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import oriolespindle.core.crash.CrashNews
+import oriolespindle.core.crash.EndpointProcess
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.InstanceId
 import oriolespindle.core.load.LoadReport
@@ -49,6 +50,12 @@
     data class ZoneLoad(
         val report: ZoneLoadReport,
     ) : PeerHint
+
+    /** [from] has found that the process of an endpoint has ended; a receiver probes for itself before it acts. */
+    data class Ended(
+        val process: EndpointProcess,
+        val from: InstanceId,
+    ) : PeerHint
 }
 
 /**
@@ -60,7 +67,10 @@
     private val group: EventLoopGroup,
     private val onReceived: (PeerHint) -> Unit,
 ) {
-    /** Has an endpoint with the start of its process, a stopping instance, news about ends of endpoints, or a load. */
+    /**
+     * Has either an endpoint with the start of its process, a stopping instance, news about ends of endpoints, a load,
+     * or an ended endpoint with the start of its process and the instance that found it.
+     */
     @Serializable
     private class Message(
         val endpoint: String? = null,
@@ -69,6 +79,8 @@
         val crashes: CrashNews? = null,
         val load: LoadReport? = null,
         val zoneLoad: ZoneLoadReport? = null,
+        val ended: String? = null,
+        val from: String? = null,
     )
 
     private val format = Json { ignoreUnknownKeys = true }
@@ -125,18 +137,37 @@
             is PeerHint.Stopping -> Message(stopping = hint.instance.value)
             is PeerHint.Load -> Message(load = hint.report)
             is PeerHint.ZoneLoad -> Message(zoneLoad = hint.report)
+            is PeerHint.Ended -> encodeEnded(hint)
         }
 
+    private fun encodeEnded(hint: PeerHint.Ended): Message =
+        Message(
+            startedAt = hint.process.startedAt,
+            ended = hint.process.endpoint.value,
+            from = hint.from.value,
+        )
+
     private fun decode(message: Message): PeerHint {
         message.stopping?.let { return PeerHint.Stopping(InstanceId(it)) }
         message.crashes?.let { return PeerHint.Crashes(it) }
         message.load?.let { return PeerHint.Load(it) }
         message.zoneLoad?.let { return PeerHint.ZoneLoad(it) }
+        message.ended?.let {
+            return PeerHint.Ended(
+                EndpointProcess(EndpointId(it), startOf(message)),
+                finderOf(message),
+            )
+        }
         val endpoint = requireNotNull(message.endpoint) { "neither an endpoint, a stopping instance, news nor a load" }
-        val startedAt = requireNotNull(message.startedAt) { "no start of the endpoint's process" }
-        return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startedAt))
+        return PeerHint.Refusal(SharedRefusal(EndpointId(endpoint), startOf(message)))
     }
 
+    private fun startOf(message: Message): Long =
+        requireNotNull(message.startedAt) { "no start of the endpoint's process" }
+
+    private fun finderOf(message: Message): InstanceId =
+        InstanceId(requireNotNull(message.from) { "no instance that found the end of the endpoint" })
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             ctx: ChannelHandlerContext,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -85,6 +85,7 @@
         settings.metrics?.let { readiness.bind(it) }
         context.shareRefusal = { hints.send(PeerHint.Refusal(it)) }
         if (addresses.refusals != null) loadSharing.start()
+        context.failover.start(share = hints::send)
         context.shareCrashNews = { hints.send(PeerHint.Crashes(it)) }
         val component = PlacementComponent(context, settings.instance, objects)
         placement = component
@@ -285,6 +286,7 @@
         when (hint) {
             is PeerHint.Refusal -> context.directory.onSharedRefusal(monotonicNow(), hint.refusal)
             is PeerHint.Crashes -> context.harmful.onNews(hint.news)
+            is PeerHint.Ended -> context.failover.onHint(hint)
             is PeerHint.Stopping -> context.stoppingPeers.onStopping(monotonicNow(), hint.instance)
             is PeerHint.Load -> loadSharing.onReport(hint)
             is PeerHint.ZoneLoad -> loadSharing.onZoneReport(hint)
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -82,8 +82,6 @@
 
     fun setPeers(peers: Map<String, Address>) = onLoop { relay.setPeers(peers.mapKeys { InstanceId(it.key) }) }
 
-    fun metrics(): String = relay.metrics.scrape()
-
     fun readCrashNews(news: CrashNews) = onLoop { relay.onStoredCrashNews("news", news, Duration.ZERO) }
 
     fun shutDown(requestedAt: Timestamp = monotonicNow()) = onLoop { relay.shutDown(requestedAt) }
