Bound the probes that silent streams cause, and look for them with one timer

Cause: with general slowness (slow engines, slow links) many streams are silent for twice their mean interval, and each would have probed all engines of its path every 200 ms: up to 165 connections a second from each instance of a zone with 33 engines, by calculation. Silent streams now cause 20 a second and 40 at once; refusals, breaks and hints are not bounded. One timer every 25 ms while there are streams replaces a timer for each stream.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/failover/EndpointProbes.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/failover/EndpointProbes.kt
@@ -63,14 +63,17 @@
     }
 
     private val probes = LinkedHashMap<EndpointProcess, Probe>()
+    private val silenceBudget = ProbeBudget(settings.silenceProbesPerSecond, settings.silenceProbeBurst)
 
-    /** Returns whether [process] may be probed at [now]; the caller then calls [onStarted]. */
+    /** Returns whether [process] may be probed at [now] because of [cause]; the caller then calls [onStarted]. */
     public fun isDue(
         now: Timestamp,
         process: EndpointProcess,
+        cause: ProbeCause,
     ): Boolean {
-        val last = probes[process] ?: return true
-        return now - last.startedAt >= if (last.isRunning) MAX_RUNNING else settings.probeInterval
+        val last = probes[process]
+        val isDue = last == null || now - last.startedAt >= if (last.isRunning) MAX_RUNNING else settings.probeInterval
+        return isDue && (cause != ProbeCause.SILENCE || silenceBudget.take(now))
     }
 
     /** Records that a probe of [process] starts. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/failover/FailoverSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/failover/FailoverSettings.kt
@@ -24,6 +24,10 @@
     public val movableSilence: Duration = 100.milliseconds,
     /** How long an endpoint that does not answer to a connection gets no new streams. */
     public val silentBackoff: Duration = 1.seconds,
+    /** The probes a second that silent streams may cause; slow engines would otherwise cause many without an end. */
+    public val silenceProbesPerSecond: Double = 20.0,
+    /** The probes that silent streams may cause at once; enough for the endpoints of a zone. */
+    public val silenceProbeBurst: Double = 40.0,
     /** How long the hint of another instance makes one of this instance superfluous. */
     public val hintRetention: Duration = 10.seconds,
 )
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/failover/FailoverTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/failover/FailoverTest.kt
@@ -24,11 +24,22 @@
     @Test
     fun `a process is probed at most once in 200 ms, and not while a probe is in progress`() {
         probes.onStarted(at(0), process)
-        expectThat(probes.isDue(at(250), process)).isFalse()
+        expectThat(probes.isDue(at(250), process, ProbeCause.BREAK)).isFalse()
         probes.onAnswer(process, ProbeAnswer.OPEN)
-        expectThat(probes.isDue(at(199), process)).isFalse()
-        expectThat(probes.isDue(at(200), process)).isTrue()
-        expectThat(probes.isDue(at(1), process.copy(startedAt = 2))).isTrue()
+        expectThat(probes.isDue(at(199), process, ProbeCause.BREAK)).isFalse()
+        expectThat(probes.isDue(at(200), process, ProbeCause.BREAK)).isTrue()
+        expectThat(probes.isDue(at(1), process.copy(startedAt = 2), ProbeCause.BREAK)).isTrue()
+    }
+
+    /** Guards against a flood of connections while many engines are slow, and against an end that then goes unnoticed. */
+    @Test
+    fun `silent streams cause 40 probes at once and 20 a second, and no limit for other causes`() {
+        val due = { millis: Int, cause: ProbeCause ->
+            (1..100).count { probes.isDue(at(millis), EndpointProcess(EndpointId("s$it"), startedAt = 1), cause) }
+        }
+        expectThat(due(0, ProbeCause.SILENCE)).isEqualTo(40)
+        expectThat(due(1_000, ProbeCause.SILENCE)).isEqualTo(20)
+        expectThat(due(1_000, ProbeCause.REFUSAL)).isEqualTo(100)
     }
 
     /** Guards against an end that rests on a single refused connection or on a fault of this instance. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointFailover.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointFailover.kt
@@ -17,6 +17,8 @@
 import oriolespindle.router.http.ProbeResult
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
+import java.util.concurrent.ScheduledFuture
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -42,6 +44,7 @@
     /** The processes that were found ended and whose streams are moved together. */
     private val gathered = LinkedHashMap<EndpointProcess, Found>()
     private var share: (PeerHint) -> Unit = {}
+    private var silenceTimer: ScheduledFuture<*>? = null
 
     /** Starts to look again at endpoints that were found ended; [share] tells the other instances of the zone. */
     fun start(share: (PeerHint) -> Unit) {
@@ -49,13 +52,26 @@
         context.timers.every(CHECK_INTERVAL, ::checkEnded)
     }
 
+    /** Looks for silent streams from now on until none is left; one timer serves all streams. */
+    fun watchSilence() {
+        if (silenceTimer == null) silenceTimer = context.timers.every(SILENCE_CHECK_INTERVAL, ::checkSilence)
+    }
+
+    private fun checkSilence() {
+        val now = monotonicNow()
+        context.streams.toList().forEach { it.probeIfSilent(now) }
+        if (context.streams.isNotEmpty()) return
+        silenceTimer?.cancel(false)
+        silenceTimer = null
+    }
+
     /** Probes [endpoint] because of [cause], unless that was done a moment ago or its end is no fault. */
     fun probe(
         endpoint: RelayEndpoint,
         cause: ProbeCause,
     ) {
         val now = monotonicNow()
-        if (!probes.isDue(now, endpoint.process) || !isInUse(endpoint)) return
+        if (!isInUse(endpoint) || !probes.isDue(now, endpoint.process, cause)) return
         probes.onStarted(now, endpoint.process)
         ask(endpoint, cause)
     }
@@ -187,6 +203,9 @@
         }
 
     private companion object {
+        /** A fraction of the shortest silence that is acted upon. */
+        val SILENCE_CHECK_INTERVAL = 25.milliseconds
+
         /** The time between two looks at an ended process; registrations are removed a few seconds after the end. */
         val CHECK_INTERVAL = 1.seconds
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -19,7 +19,6 @@
 import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Relays a request whose answer is a stream of events, from a path of engines or from a plain service.
@@ -113,7 +112,7 @@
         context.streams += this
         watchAttempt(context.times.firstEventTimeout, ::onStalled)
         silence.onWaitStarted(startedAt)
-        if (hasFailover) watchSilence()
+        if (hasFailover) context.failover.watchSilence()
     }
 
     /** Stops reading from the endpoint while the caller does not take what was written for it. */
@@ -127,23 +126,12 @@
         call?.resumeReading()
     }
 
-    /** Has the endpoints of the path probed while no event arrives, until the attempt in progress ends. */
-    private fun watchSilence() {
-        val watched = call
+    /** Has the endpoints of the path probed if no event has arrived for some time. */
+    fun probeIfSilent(now: Timestamp) {
         // While the caller does not read, the time without an event tells nothing about the endpoints.
-        val remaining = if (exchange.isWritable) silence.remaining(monotonicNow()) else silence.limit
-        context.timers.after(maxOf(remaining, MIN_SILENCE_CHECK)) {
-            guarded { if (!ended && call === watched) onSilenceCheck() }
-        }
-    }
-
-    private fun onSilenceCheck() {
-        val now = monotonicNow()
-        if (exchange.isWritable && silence.remaining(now) == Duration.ZERO) {
-            silence.onProbed(now)
-            path?.parts?.forEach { context.failover.probe(it.endpoint, ProbeCause.SILENCE) }
-        }
-        watchSilence()
+        if (!hasFailover || call == null || !exchange.isWritable || silence.remaining(now) > Duration.ZERO) return
+        silence.onProbed(now)
+        path?.parts?.forEach { context.failover.probe(it.endpoint, ProbeCause.SILENCE) }
     }
 
     /** Whether the attempt in progress depends on this process of [endpoint] and may be moved from it. */
@@ -608,8 +596,5 @@
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
         const val EVENTS_OF_ANSWER = 2
-
-        /** Bounds how often a stream that is about to be silent is looked at. */
-        val MIN_SILENCE_CHECK = 5.milliseconds
     }
 }
