--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/failover/FailoverTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/failover/FailoverTest.kt
@@ -31,7 +31,7 @@
         expectThat(probes.isDue(at(1), process.copy(startedAt = 2), ProbeCause.BREAK)).isTrue()
     }
 
-    /** Guards against a flood of connections while many engines are slow, and against an end that then goes unnoticed. */
+    /** Guards against a flood of connections while engines are slow, and against an end that then goes unnoticed. */
     @Test
     fun `silent streams cause 40 probes at once and 20 a second, and no limit for other causes`() {
         val due = { millis: Int, cause: ProbeCause ->
