--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -44,6 +44,8 @@
         request.priority?.let { priority ->
             SlotRequest(request, priority, tokens, ::startWaiting) { refuseWaiting(it) }
         }
+    private val paths = model?.let { StreamPaths(context, request.service.id, it) }
+    private val firstEventLatency = FirstEventLatency(context, request, paths)
     private var path: LayerPath? = null
     private var first: RelayEndpoint? = null
     private var head: ClientEvent.Head? = null
@@ -62,7 +64,6 @@
     private var hasPath = false
     private var startedAt = Timestamp.ZERO
     private var lastEventAt = Timestamp.ZERO
-    private var awaitsFirstEvent = false
 
     /** Whether the stream is moved as soon as an endpoint of its path is found to have ended. */
     private val hasFailover = model != null && request.route.maxEventGap != null
@@ -96,7 +97,7 @@
         slotRequest?.let(context.admission::onStarted)
         first = target
         startedAt = monotonicNow()
-        awaitsFirstEvent = true
+        firstEventLatency.onRunStarted()
         context.concurrency.onStreamStarted(startedAt, target.id)
         head = null
         hasBody = false
@@ -185,30 +186,20 @@
     /** Returns the endpoint to send to; for a model it is the first of a path, which is stored in [path]. */
     private fun chooseTarget(): RelayEndpoint? {
         val now = monotonicNow()
-        val endpoints = context.directory.usable(now, request.service.id)
         // Only a begun answer is retried at endpoints that failed before; otherwise a refusal tells the caller more.
-        if (model == null) {
-            val candidates = endpoints.filter { mayReceive(it.id) }
+        if (paths == null) {
+            val candidates = context.directory.usable(now, request.service.id).filter { mayReceive(it.id) }
             return context.selector.choose(now, candidates, avoid)
                 ?: context.selector.choose(now, candidates, emptySet()).takeIf { answerBegun }
         }
         val isOpen = { endpoint: EndpointId ->
             mayReceive(endpoint) && (answerBegun || context.concurrency.canStart(now, endpoint))
         }
-        path =
-            findPath(model, endpoints, avoid, isOpen)
-                ?: findPath(model, endpoints, emptySet(), isOpen).takeIf { answerBegun }
-        hasPath = path != null || context.paths.find(model, endpoints, ::loadOf) != null
+        path = paths.choose(avoid, isOpen) ?: paths.choose(emptySet(), isOpen).takeIf { answerBegun }
+        hasPath = path != null || paths.exists()
         return path?.first
     }
 
-    private fun findPath(
-        layout: ModelLayout,
-        endpoints: List<RelayEndpoint>,
-        avoid: Set<EndpointId>,
-        isOpen: (EndpointId) -> Boolean,
-    ): LayerPath? = context.paths.find(layout, endpoints, ::loadOf, avoid, ::pace, isOpen, context.balance)
-
     private fun onNoTarget() {
         val waiting = slotRequest
         when {
@@ -233,7 +224,7 @@
     }
 
     /** Whether some path is left to wait for, after attempts that have failed. */
-    private fun hasPathLeft(): Boolean = !hasFailedAttempts || anyPath(avoid, ::mayReceive) != null
+    private fun hasPathLeft(): Boolean = !hasFailedAttempts || paths?.exists(avoid, ::mayReceive) == true
 
     /** Starts the first waiting stream in order if a slot is free, and ends its wait if it cannot be served. */
     private fun startWaiting() =
@@ -254,29 +245,12 @@
 
     /** Whether a slot is free that this request may not use after its earlier attempts; it would block all others. */
     private fun isSlotOfOthers(): Boolean =
-        hasFailedAttempts && anyPath(emptySet()) { context.concurrency.canStart(monotonicNow(), it) } != null
+        hasFailedAttempts && paths?.exists { context.concurrency.canStart(monotonicNow(), it) } == true
 
     private val hasFailedAttempts: Boolean get() = avoid.isNotEmpty() || history.sends > 0
 
-    private fun anyPath(
-        avoided: Set<EndpointId>,
-        mayBeFirst: (EndpointId) -> Boolean,
-    ): LayerPath? {
-        val layout = model ?: return null
-        val usable = context.directory.usable(monotonicNow(), request.service.id)
-        return context.paths.find(layout, usable, ::loadOf, avoided, mayBeFirst = mayBeFirst)
-    }
-
     /** For a model, the pause of the path that can be used if paused endpoints count as usable, and not otherwise. */
-    override fun commonPause(): Duration? {
-        val layout = model ?: return super.commonPause()
-        val now = monotonicNow()
-        val paused = context.directory.paused(now, request.service.id)
-        val usable = context.directory.usable(now, request.service.id)
-        if (paused.isEmpty() || context.paths.find(layout, usable, ::loadOf) != null) return null
-        val next = context.paths.find(layout, usable + paused.keys, ::loadOf) ?: return null
-        return next.parts.maxOf { paused[it.endpoint] ?: Duration.ZERO }
-    }
+    override fun commonPause(): Duration? = if (paths == null) super.commonPause() else paths.commonPause()
 
     override fun onAttemptEnded() {
         path?.let { context.load.onRequestEnded(it, tokens) }
@@ -364,38 +338,7 @@
         exchange.beginRelay(head.status, context.headers.forCaller(head.headers))
     }
 
-    private fun recordFirstEventLatency() {
-        if (!awaitsFirstEvent) return
-        awaitsFirstEvent = false
-        val target = first ?: return
-        val objective = request.route.objective ?: return
-        val latency = elapsed(startedAt)
-        val isLate = context.concurrency.isLate(latency, objective)
-        if (isLate) pollPaces()
-        // A slow endpoint further down the path that new streams avoid must not count against the first endpoint.
-        if (isLate && isBypassed()) {
-            context.concurrency.onDelayedElsewhere(monotonicNow(), target.id)
-        } else {
-            context.concurrency.onFirstEvent(monotonicNow(), target.id, latency, objective)
-        }
-        context.admission.evaluateSoon(request.service.id)
-    }
-
-    private fun pollPaces() {
-        path?.parts?.map { it.endpoint.id }?.let(context.pacePoller::poll)
-    }
-
-    /** Whether the path has a slow endpoint and new streams can avoid slow endpoints. */
-    private fun isBypassed(): Boolean {
-        val current = path ?: return false
-        val layout = model ?: return false
-        if (current.parts.none { pace(it.endpoint.id) > 1.0 }) return false
-        val endpoints = context.directory.usable(monotonicNow(), request.service.id)
-        val next = context.paths.find(layout, endpoints, ::loadOf, pace = ::pace) ?: return false
-        return next.parts.none { pace(it.endpoint.id) > 1.0 }
-    }
-
-    private fun pace(endpoint: EndpointId): Double = context.paces.factor(monotonicNow(), endpoint)
+    private fun recordFirstEventLatency() = firstEventLatency.record(first, path, startedAt)
 
     private fun onCompleted(head: ClientEvent.Head) {
         val first = first ?: return
@@ -509,7 +452,7 @@
             return
         }
         recordFirstEventLatency()
-        pollPaces()
+        path?.let(firstEventLatency::pollPaces)
         if (!canRestartElsewhere()) return
         // A plain service cannot be asked; before its first event, another run at a free endpoint answers sooner.
         val maxSilence = if (model == null && !answerBegun) Duration.ZERO else context.times.maxEventGap
@@ -563,12 +506,12 @@
         mustBeFree: Boolean = !answerBegun,
     ): Boolean {
         val now = monotonicNow()
-        val others = context.directory.usable(now, request.service.id).filter { it.id != silent }
         val canTake = { other: EndpointId ->
             mayReceive(other) && (!mustBeFree || context.concurrency.canStart(now, other))
         }
-        if (model == null) return others.any { it.id !in avoid && canTake(it.id) }
-        return context.paths.find(model, others, ::loadOf, avoid, ::pace, canTake) != null
+        val avoided = avoid + silent
+        if (paths != null) return paths.exists(avoided, canTake)
+        return context.directory.usable(now, request.service.id).any { it.id !in avoided && canTake(it.id) }
     }
 
     private fun onLost(faulty: EndpointId) {
@@ -585,14 +528,6 @@
         onAttemptFailed(if (sent) AttemptEnd.Unknown else AttemptEnd.NotSent, "stalled", faulty)
     }
 
-    private fun loadOf(endpoint: EndpointId): Double {
-        val registered = context.directory.find(endpoint)
-        val layers = registered?.layers?.size
-        val accelerator = model?.accelerators?.get(registered?.accelerator)
-        if (model == null || accelerator == null || layers == null) return 1.0
-        return context.load.utilization(model, accelerator, endpoint, layers)
-    }
-
     private companion object {
         const val LAST_EVENT_ID = "Last-Event-ID"
         const val EVENTS_OF_ANSWER = 2
