Send load reports less often in larger zones; look for silent streams every 50 ms

Candidates for sending the sum of a zone count while their reports are valid, since all instances of a large zone would send it otherwise (test).

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/LoadSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/LoadSettings.kt
@@ -10,8 +10,8 @@
     public val minInstances: Int = 4,
     /** The shortest interval between two reports of an instance. */
     public val minInterval: Duration = 300.milliseconds,
-    /** The interval for each peer; bounds the reports that an instance receives to 100 per second. */
-    public val intervalPerPeer: Duration = 10.milliseconds,
+    /** The interval for each peer; bounds the reports that an instance receives to 25 per second. */
+    public val intervalPerPeer: Duration = 40.milliseconds,
     /** The interval of the reports of an instance without load, unless unchanged reports are less frequent. */
     public val emptyInterval: Duration = 1.seconds,
     /** The validity of a report in intervals after which it is repeated; more than 2, since one report may be lost. */
@@ -20,7 +20,7 @@
     public val zoneInterval: Duration = 1.seconds,
     /** The validity of another zone's sum. */
     public val zoneValidity: Duration = 3.seconds,
-    /** An instance without a report for this long does not count for the choice of the sender of the zone's sum. */
+    /** Without a report for this long, and without a valid one, an instance is no candidate for the zone's sum. */
     public val senderTimeout: Duration = 2.seconds,
     /** The weight of the own requests' distribution, against that of the reports, in the choice of endpoints. */
     public val ownWeight: Double = 0.75,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/SharedLoad.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/load/SharedLoad.kt
@@ -120,7 +120,11 @@
     public fun isKnown(zone: ZoneId): Boolean = zone in otherZones.sources
 
     /** Returns the peers whose reports have arrived recently. */
-    public fun peersHeard(now: Timestamp): Set<InstanceId> = peerTokens.heardWithin(now, settings.senderTimeout)
+    public fun peersHeard(now: Timestamp): Set<InstanceId> {
+        // In a large zone reports are further apart than the timeout; every instance would send the sum.
+        val validity = settings.validity(instances - 1, isEmpty = false)
+        return peerTokens.heardWithin(now, maxOf(settings.senderTimeout, validity))
+    }
 
     /** Returns the age of the oldest valid report of a peer; null if there is none. */
     public fun oldestReportAge(now: Timestamp): Duration? = peerTokens.oldest?.let { now - it }
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/load/SharedLoadTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/load/SharedLoadTest.kt
@@ -96,6 +96,15 @@
         expectThat(reporter.nextZoneReport(at(3_001.milliseconds), load)).isNotNull()
     }
 
+    @Test
+    fun `guards against a sum from each instance of a large zone, whose reports are further apart`() {
+        val reporter = LoadReporter(InstanceId("b"), ZoneId("a"))
+        load.instances = 101
+        load.onReport(at(0.seconds), report("a", 1, 0))
+
+        expectThat(reporter.nextZoneReport(at(8.seconds), load)).isNull()
+    }
+
     @Test
     fun `guards against the sum of a lost zone that counts forever`() {
         val sum = { sequence: Long -> ZoneLoadReport(InstanceId("x"), sequence, ZoneId("z"), mapOf(endpoint to 70)) }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointFailover.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointFailover.kt
@@ -203,8 +203,8 @@
         }
 
     private companion object {
-        /** A fraction of the shortest silence that is acted upon. */
-        val SILENCE_CHECK_INTERVAL = 25.milliseconds
+        /** Less than the shortest silence that is acted upon. */
+        val SILENCE_CHECK_INTERVAL = 50.milliseconds
 
         /** The time between two looks at an ended process; registrations are removed a few seconds after the end. */
         val CHECK_INTERVAL = 1.seconds
