--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -84,7 +84,7 @@
             )
         settings.metrics?.let { readiness.bind(it) }
         context.shareRefusal = { hints.send(PeerHint.Refusal(it)) }
-        if (addresses.refusals != null) loadSharing.start()
+        if (addresses.refusals != null && settings.sharesLoad) loadSharing.start()
         context.failover.start(share = hints::send)
         context.shareCrashNews = { hints.send(PeerHint.Crashes(it)) }
         val component = PlacementComponent(context, settings.instance, objects)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySettings.kt
@@ -33,6 +33,8 @@
     public val times: RelayTimes = RelayTimes(),
     public val directory: DirectorySettings = DirectorySettings(),
     public val lateRequests: LateRequestSettings = LateRequestSettings(),
+    /** Whether instances of the zone tell each other their load and spread the choice of paths; needs [refusals]. */
+    public val sharesLoad: Boolean = false,
 )
 
 /** Timeouts and delays of the relay. */
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/RelayFixture.kt
@@ -131,6 +131,7 @@
             readiness = anyPort,
             metrics = null,
             refusals = anyPort,
+            sharesLoad = true,
             headerNames = names,
             budgets = ServiceBudgetSettings(ratio = 0.2, burst = retryBurst),
             maxConnections = 100,
