--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayContext.kt
@@ -46,6 +46,9 @@
 
     /** Spreads requests over paths of about the same cost; null unless the instances of the zone share their load. */
     var balance: PathBalance? = null
+
+    /** The header with the caller's estimate of the answer's length, which counts only while load is shared. */
+    val lengthHintName: String? get() = names.lengthHint.takeIf { balance != null }
     val paces = EndpointPaces()
     val concurrency = ConcurrencyLimits()
     val refusalSharing = RefusalSharing()
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -38,7 +38,7 @@
         expectedTokens(
             header = exchange.header(context.names.tokens),
             model = model,
-            lengthHint = context.names.lengthHint?.let(exchange::header),
+            lengthHint = context.lengthHintName?.let(exchange::header),
         )
     private val slotRequest: SlotRequest? =
         request.priority?.let { priority ->
