Reject a part of prompts under which endpoints end late in an answer

Cause: two events of an answer cleared the parts of a request. An end after them was recorded with the content of the request only, and contents are never equal here. So no end was ever held against the part. How many events count as an answer is not the cause, since an endpoint may end one event later.

Change: a part is cleared for such ends by a request with it that was answered completely, in a single run, after the end; a request that several runs answered proves nothing, since one of them may have ended its endpoint. Ends report the parts of begun requests (begunRequests). A part is rejected after five ends under several requests if it was never completed, and after eight since the last completion otherwise. Ends that another rejection explains do not count; the part that was never completed, is the most specific or is at the most ends goes first. Silent processes count for parts that were never completed.

The simulation expires evidence each second and writes to its store only what that lacks, as instances do; before, it wrote each change of the order again.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -19,8 +19,10 @@
  *
  * An answer that is begun does not prove a request sound, since its endpoint may end later in the answer. So a content
  * is also rejected after [HarmfulRequestSettings.maxCrashesOfBegun] ends that no other rejection explains if no request
- * with it was ever answered completely. Parts of prompts are not, since many sound requests may have a new part in
- * common before the first of them is complete.
+ * with it was ever answered completely. So is a part of prompts, if several requests with it were in progress at as
+ * many ends since one was last answered completely, by a single run. A popular part may be in progress wherever
+ * endpoints end. A part that was never completed, or is at more ends, explains them better, and others are not blamed
+ * for the same ends.
  *
  * A process that is silent and out of reach counts as ended for a short time, unless it sends something or its end is
  * confirmed. Such ends count only against traits of which no request was ever answered, since an instance that is cut
@@ -38,9 +40,17 @@
         var isConfirmed = false
         val requests = LinkedHashSet<Set<RequestTrait>>()
         val begun = LinkedHashSet<RequestTrait>()
+        val begunRequests = LinkedHashSet<Set<RequestTrait>>()
+
+        /** Returns the requests with [trait] that were not completed. */
+        fun incomplete(trait: RequestTrait): List<Set<RequestTrait>> =
+            listOf(requests, begunRequests).flatMap { some -> some.filter { trait in it } }
 
         fun isExplainedBy(rejections: Collection<Set<RequestTrait>>): Boolean =
-            rejections.any { rejected -> requests.any { it.containsAll(rejected) } || begun.containsAll(rejected) }
+            rejections.any { rejected ->
+                requests.any { it.containsAll(rejected) } || begunRequests.any { it.containsAll(rejected) } ||
+                    begun.containsAll(rejected)
+            }
     }
 
     /** A trait that may be harmful, with the ends at which it is suspected. */
@@ -49,6 +59,9 @@
         val count: Int,
         /** The traits that were in all its requests. */
         val common: Set<RequestTrait>,
+        val requestsPerCrash: Double = 1.0,
+        /** Whether requests with it were completed before these ends. */
+        val isKnownComplete: Boolean = false,
     )
 
     private val crashes = LinkedHashMap<EndpointProcess, Crash>()
@@ -59,6 +72,9 @@
     /** The [crashes] by the contents of all their requests, also of those that were begun to be answered. */
     private val crashesByContent = HashMap<RequestTrait, LinkedHashSet<Crash>>()
 
+    /** The [crashes] by the parts of requests that were begun to be answered, unless one was completed since. */
+    private val crashesByBegunPart = HashMap<RequestTrait, LinkedHashSet<Crash>>()
+
     /** When requests with a trait were last begun to be answered; null if only another instance has seen so. */
     private val answeredAt =
         object : LinkedHashMap<RequestTrait, Timestamp?>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
@@ -66,10 +82,10 @@
                 size > settings.maxKnownTraits
         }
 
-    /** The contents of requests that were answered completely while ends of endpoints were remembered. */
-    private val completed =
-        object : LinkedHashMap<RequestTrait, Unit>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<RequestTrait, Unit>): Boolean =
+    /** When requests with a trait were last answered completely; contents only while ends are remembered. */
+    private val completedAt =
+        object : LinkedHashMap<RequestTrait, Timestamp>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<RequestTrait, Timestamp>): Boolean =
                 size > settings.maxKnownTraits
         }
 
@@ -83,8 +99,19 @@
     /** Returns the traits because of which a request with [traits] is rejected, or null if it is not. */
     public fun rejection(traits: Set<RequestTrait>): Set<RequestTrait>? = rejections.firstOrNull(traits::containsAll)
 
-    /** Returns whether an endpoint has ended while it ran a request with [content], and none has completed one. */
-    public fun isSuspected(content: RequestTrait): Boolean = content in crashesByContent && content !in completed
+    /**
+     * Returns whether a request with [traits] must not run again before it is known whether its endpoint has ended.
+     *
+     * That is so if an endpoint has ended under its content, or if one more end would have a part of it rejected.
+     */
+    public fun isSuspected(traits: Set<RequestTrait>): Boolean =
+        traits.any { trait ->
+            if (trait.isContent) {
+                trait in crashesByContent && trait !in completedAt
+            } else {
+                countMoments(incompleteAt(trait)) >= settings.maxCrashesOfBegun - 1
+            }
+        }
 
     /** Returns how long requests with all traits of [rejection] are rejected from [now] on, unless more ends follow. */
     public fun rejectedFor(
@@ -113,25 +140,43 @@
         return suspected
     }
 
-    /** Records that a request with [content] was answered completely; returns whether ends were held against it. */
-    public fun onCompleted(content: RequestTrait): Boolean {
-        completed[content] = Unit
-        if (content !in crashesByContent) return false
-        judge()
-        return true
+    /**
+     * Records that a request was answered completely; returns those of [traits] against which ends were held.
+     *
+     * A request that was answered by several runs is no proof for the parts of its prompt, since one of the endpoints
+     * may have ended under it; [traits] then has its content only.
+     */
+    public fun onCompleted(
+        now: Timestamp,
+        traits: Set<RequestTrait>,
+    ): Set<RequestTrait> {
+        val suspected =
+            traits.filterTo(LinkedHashSet()) { it in crashesByContent || it in crashesByBegunPart }
+        if (traits.count { clear(now, it) } > 0) judge()
+        return suspected
+    }
+
+    /** Records that a request with [trait] was completed; returns whether that may change what is rejected. */
+    private fun clear(
+        now: Timestamp,
+        trait: RequestTrait,
+    ): Boolean {
+        completedAt[trait] = now
+        val cleared = (if (trait.isContent) crashesByContent[trait] else crashesByBegunPart.remove(trait)).orEmpty()
+        return cleared.size >= settings.maxCrashesOfBegun
     }
 
     /**
      * Records the end of [process] at [at], which had not begun to answer the requests with the traits in [unanswered],
-     * and had not completed the answers to those with the contents in [begun].
+     * and had not completed the answers to those with the traits in [begun].
      */
     public fun onCrash(
         at: Timestamp,
         process: EndpointProcess,
         unanswered: List<Set<RequestTrait>>,
-        begun: Set<RequestTrait> = emptySet(),
+        begun: List<Set<RequestTrait>> = emptyList(),
     ) {
-        record(at, CrashReport(process, unanswered, begun = begun))
+        record(at, CrashReport.of(process, unanswered, begun))
         judge()
     }
 
@@ -140,8 +185,9 @@
         at: Timestamp,
         process: EndpointProcess,
         unanswered: List<Set<RequestTrait>>,
+        begun: List<Set<RequestTrait>> = emptyList(),
     ) {
-        record(at, CrashReport(process, unanswered, isConfirmed = false))
+        record(at, CrashReport.of(process, unanswered, begun, isConfirmed = false))
         judge()
     }
 
@@ -153,19 +199,29 @@
         if (isSilent(process)) forget(listOf(process))
     }
 
-    /** Merges the [news] of another instance; returns the suspected traits of which only this one knows answers. */
+    /** Merges the [news] of another instance; returns what only this one knows in favour of suspected traits. */
     public fun merge(
         now: Timestamp,
         news: CrashNews,
-    ): Set<RequestTrait> {
+    ): CrashNews {
         val reported = news.crashes.flatMapTo(LinkedHashSet()) { it.unanswered.flatten() }
         val knownHere = reported.filterTo(LinkedHashSet()) { it !in news.known && it in answeredAt }
+        val completedSince = news.crashes.flatMapTo(LinkedHashSet()) { partsCompletedSince(now, it) }
         news.known.forEach { if (it !in answeredAt) answeredAt[it] = null }
-        news.crashes.forEach { record(now, it) }
+        val isChanged = news.crashes.count { record(now, it) } > 0
         news.answered.forEach { answeredAt[it] = now }
-        news.completed.forEach { completed[it] = Unit }
-        judge()
-        return knownHere
+        val isCleared = news.completed.count { clear(now, it) } > 0
+        if (isCleared || isChanged || news.known.isNotEmpty() || news.answered.isNotEmpty()) judge()
+        return CrashNews(known = knownHere, completed = completedSince)
+    }
+
+    /** Returns the parts of begun requests in [report] of which requests were completed after that end. */
+    private fun partsCompletedSince(
+        now: Timestamp,
+        report: CrashReport,
+    ): List<RequestTrait> {
+        val at = report.endedAt(now)
+        return report.begunRequests.flatten().filter { part -> completedAt[part]?.let { it > at } ?: false }
     }
 
     /** Forgets the ends of [processes] and thereby lifts the rejections that rest on them. */
@@ -176,11 +232,25 @@
 
     /** Drops what is older than [HarmfulRequestSettings.retention], and silences that were not confirmed. */
     public fun expire(now: Timestamp) {
+        dropCompletedSince()
         if (!crashes.values.removeIf { now - it.at > retention(it.isConfirmed) }) return
         onCrashesRemoved()
         judge()
     }
 
+    /** Drops the begun requests that are no evidence any more, which most are soon after an end. */
+    private fun dropCompletedSince() {
+        for (crash in crashes.values) {
+            crash.begunRequests.removeIf { request -> request.none { isOpen(it, crash) } }
+        }
+    }
+
+    /** Whether no request with [part] was completed since [crash]. */
+    private fun isOpen(
+        part: RequestTrait,
+        crash: Crash,
+    ): Boolean = !part.isContent && completedAt[part]?.let { it < crash.at } ?: true
+
     /** Returns the known ones of [traits]. */
     public fun known(traits: Collection<RequestTrait>): Set<RequestTrait> =
         traits.filterTo(LinkedHashSet()) { it in answeredAt }
@@ -191,13 +261,21 @@
      */
     public fun lastingNews(now: Timestamp): CrashNews {
         val repeated = crashesByTrait.filterValues { it.size >= MIN_REPEATED }.keys.filterTo(HashSet(), ::isRepeated)
+        val contents =
+            crashesByContent.filterValues { it.size >= MIN_REPEATED }.keys.filterTo(
+                HashSet(),
+                ::isRepeatedContent,
+            )
+        val begunParts = crashesByBegunPart.keys.filterTo(HashSet(), ::isRepeatedPart)
+        if (repeated.isEmpty() && contents.isEmpty() && begunParts.isEmpty()) return CrashNews()
         val reports =
             crashes.values.mapNotNull { crash ->
-                val requests = crash.requests.filter { request -> request.any { it in repeated } }
-                val begun = crash.begun.filterTo(LinkedHashSet(), ::isRepeatedContent)
+                val requests = crash.requests.filter { request -> request.any { it in repeated || it in begunParts } }
+                val begun = crash.begun.filterTo(LinkedHashSet()) { it in contents }
+                val begunRequests = crash.begunRequests.filter { request -> request.any { it in begunParts } }
                 val age = (now - crash.at).inWholeMilliseconds
-                CrashReport(crash.process, requests, age, begun, crash.isConfirmed)
-                    .takeIf { requests.isNotEmpty() || begun.isNotEmpty() }
+                CrashReport(crash.process, requests, age, begun, crash.isConfirmed, begunRequests)
+                    .takeIf { requests.isNotEmpty() || begun.isNotEmpty() || begunRequests.isNotEmpty() }
             }
         return CrashNews(reports, known(reports.flatMap { it.unanswered.flatten() }))
     }
@@ -209,28 +287,69 @@
         trait !in answeredAt && countMoments(suspectedAt(trait)) >= MIN_REPEATED
 
     private fun isRepeatedContent(content: RequestTrait): Boolean =
-        content !in completed && countMoments(crashesByContent[content].orEmpty()) >= MIN_REPEATED
+        content !in completedAt && areRepeated(crashesByContent[content].orEmpty())
+
+    private fun isRepeatedPart(part: RequestTrait): Boolean = areRepeated(incompleteAt(part))
 
+    private fun areRepeated(crashes: Collection<Crash>): Boolean =
+        crashes.size >= MIN_REPEATED && countMoments(crashes) >= MIN_REPEATED
+
+    /** Records the end in [report]; returns whether anything of it was not known. */
     private fun record(
         now: Timestamp,
         report: CrashReport,
-    ) {
-        val at = now - report.ageMillis.coerceAtLeast(0).milliseconds
-        if (now - at > retention(report.isConfirmed)) return
+    ): Boolean {
+        val at = report.endedAt(now)
+        if (now - at > retention(report.isConfirmed)) return false
+        val isNew = report.process !in crashes
         val crash = crashes.getOrPut(report.process) { Crash(report.process, at) }
+        val isNewlyConfirmed = report.isConfirmed && !crash.isConfirmed
         crash.isConfirmed = crash.isConfirmed || report.isConfirmed
-        val room = settings.maxRequestsPerCrash - crash.requests.size
-        for (request in report.unanswered.filter { it !in crash.requests }.take(maxOf(room, 0))) {
+        val added = addUnanswered(crash, report) + addBegunContents(crash, report) + addBegunRequests(crash, report)
+        if (crashes.size > settings.maxRecordedCrashes) dropOldestUnexplained()
+        return isNew || isNewlyConfirmed || added > 0
+    }
+
+    private fun addUnanswered(
+        crash: Crash,
+        report: CrashReport,
+    ): Int {
+        val room = maxOf(settings.maxRequestsPerCrash - crash.requests.size, 0)
+        val added = report.unanswered.filter { it !in crash.requests }.take(room)
+        for (request in added) {
             crash.requests += request
             request.forEach { crashesByTrait.getOrPut(it) { LinkedHashSet() } += crash }
             request.filter { it.isContent }.forEach { crashesByContent.getOrPut(it) { LinkedHashSet() } += crash }
         }
-        val roomForBegun = settings.maxRequestsPerCrash - crash.begun.size
-        for (content in report.begun.filter { it !in crash.begun }.take(maxOf(roomForBegun, 0))) {
+        return added.size
+    }
+
+    private fun addBegunContents(
+        crash: Crash,
+        report: CrashReport,
+    ): Int {
+        val room = maxOf(settings.maxRequestsPerCrash - crash.begun.size, 0)
+        val added = report.begun.filter { it !in crash.begun }.take(room)
+        for (content in added) {
             crash.begun += content
             crashesByContent.getOrPut(content) { LinkedHashSet() } += crash
         }
-        if (crashes.size > settings.maxRecordedCrashes) dropOldestUnexplained()
+        return added.size
+    }
+
+    private fun addBegunRequests(
+        crash: Crash,
+        report: CrashReport,
+    ): Int {
+        val room = maxOf(settings.maxRequestsPerCrash - crash.begunRequests.size, 0)
+        val isEvidence = { request: Set<RequestTrait> -> request.any { isOpen(it, crash) } }
+        val added = report.begunRequests.filter { it !in crash.begunRequests && isEvidence(it) }.take(room)
+        for (request in added) {
+            crash.begunRequests += request
+            val open = request.filter { isOpen(it, crash) }
+            open.forEach { crashesByBegunPart.getOrPut(it) { LinkedHashSet() } += crash }
+        }
+        return added.size
     }
 
     private fun dropOldestUnexplained() {
@@ -240,7 +359,7 @@
     }
 
     private fun onCrashesRemoved() =
-        listOf(crashesByTrait, crashesByContent).forEach { index ->
+        listOf(crashesByTrait, crashesByContent, crashesByBegunPart).forEach { index ->
             index.values.removeIf { known ->
                 known.removeIf { crashes[it.process] !== it }
                 known.isEmpty()
@@ -253,6 +372,16 @@
         return crashesByTrait[trait].orEmpty().filter { since == null || it.at > since }
     }
 
+    /**
+     * Returns the ends at which requests with [part] were in progress and none was completed since.
+     *
+     * There are none unless the answer to one of these requests was begun; other parts are judged by [suspectedAt].
+     */
+    private fun incompleteAt(part: RequestTrait): List<Crash> {
+        val begun = crashesByBegunPart[part] ?: return emptyList()
+        return (begun + crashesByTrait[part].orEmpty()).filter { isOpen(part, it) }
+    }
+
     private fun judge() {
         val repeated = crashesByTrait.filterValues { it.size >= settings.maxCrashes }.keys
         val unknown =
@@ -262,6 +391,7 @@
                 .filter { it.count >= settings.maxCrashes }
         val specific = unknown.filterNot { candidate -> unknown.any { explainsAsWell(it, candidate) } }
         val found = specific.mapTo(LinkedHashSet()) { it.common }
+        found += neverCompletedParts(found)
         found += neverCompleted(found).map(::setOf)
         val known =
             repeated
@@ -274,10 +404,52 @@
         rejections = found.filterNotTo(LinkedHashSet()) { set -> found.any { it != set && set.containsAll(it) } }
     }
 
+    /** Returns what requests have in common under which too many endpoints ended after they had begun to answer. */
+    private fun neverCompletedParts(found: Set<Set<RequestTrait>>): Set<Set<RequestTrait>> {
+        // The rejection of one content does not explain what several contents have in common.
+        val explained = found.filterNotTo(LinkedHashSet()) { set -> set.any { it.isContent } }
+        val rejected = LinkedHashSet<Set<RequestTrait>>()
+        val candidates =
+            crashesByBegunPart
+                .filter { (part, crashes) ->
+                    crashes.size + crashesByTrait[part].orEmpty().size >= settings.maxCrashesOfBegun
+                }.keys
+                .map(::incompleteCandidate)
+                .filter { it.count >= maxCrashes(it) }
+                .sortedWith(
+                    compareBy({ it.isKnownComplete }, { -it.common.size }, { -it.count }, { it.requestsPerCrash }),
+                )
+        for (candidate in candidates) {
+            val unexplained = candidate.crashes.filterNot { it.isExplainedBy(explained + rejected) }
+            if (countMoments(unexplained) >= maxCrashes(candidate)) rejected += candidate.common
+        }
+        return rejected
+    }
+
+    private fun maxCrashes(candidate: Candidate): Int =
+        if (candidate.isKnownComplete) settings.maxCrashesOfCompleted else settings.maxCrashesOfBegun
+
+    /** Returns [part] as a candidate; one that only one request has is left to the rejection of its content. */
+    private fun incompleteCandidate(part: RequestTrait): Candidate {
+        val isKnownComplete = part in completedAt
+        val crashes = incompleteAt(part).filter { it.isConfirmed || !isKnownComplete }
+        val requests = crashes.flatMap { it.incomplete(part) }
+        val common = requests.reduceOrNull { common, request -> common.intersect(request) }.orEmpty()
+        val open = common.filterTo(LinkedHashSet()) { it.isContent || incompleteAt(it).containsAll(crashes) }
+        val count = if (open.any { it.isContent }) 0 else countMoments(crashes)
+        return Candidate(
+            crashes = crashes,
+            count = count,
+            common = open,
+            requestsPerCrash = requests.size / maxOf(crashes.size, 1).toDouble(),
+            isKnownComplete = isKnownComplete,
+        )
+    }
+
     /** Returns the contents that were never answered completely, with too many ends that [found] does not explain. */
     private fun neverCompleted(found: Set<Set<RequestTrait>>): List<RequestTrait> =
         crashesByContent
-            .filter { (content, crashes) -> crashes.size >= settings.maxCrashesOfBegun && content !in completed }
+            .filter { (content, crashes) -> crashes.size >= settings.maxCrashesOfBegun && content !in completedAt }
             .filterValues { crashes ->
                 val unexplained = crashes.filter { it.isConfirmed && !it.isExplainedBy(found) }
                 countMoments(unexplained) >= settings.maxCrashesOfBegun
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
@@ -17,11 +17,17 @@
      */
     public val maxCrashesOfKnown: Int = 5,
     /**
-     * The same for a content of which answers were begun and none was completed.
+     * The same for a content or a part of prompts of which answers were begun and none was ever completed.
      *
      * A sound stream is at the ends that a harmful request causes until one of its runs completes.
      */
     public val maxCrashesOfBegun: Int = 5,
+    /**
+     * The same for a part of prompts of which answers were completed before, counted since the last one.
+     *
+     * While many endpoints end for another reason, a sound part may be at some of them before the next completion.
+     */
+    public val maxCrashesOfCompleted: Int = 8,
     /** Ends within this time of each other count as one: a rack, a switch or a zone may have failed. */
     public val simultaneousWindow: Duration = 50.milliseconds,
     /** How long an end of an endpoint counts, and thereby how long requests are rejected after the last one. */
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulPartSimulation.kt
@@ -27,6 +27,10 @@
     val cutShare: Double = 0.0,
     /** How long an answer takes from its beginning to its end. */
     val answerTime: Duration = Duration.ZERO,
+    /** How long an endpoint goes on with the answer to a harmful request before it ends; null if it begins none. */
+    val endsAfter: Duration? = null,
+    /** Whether all endpoints of a zone end one after the other, twice, for another reason. */
+    val hasSeriesOfEnds: Boolean = false,
 )
 
 /** Sums over seeded runs; [maxLateArrivals] is the largest number of late arrivals of harmful requests in one run. */
@@ -58,6 +62,9 @@
         var isBegun: Boolean = false,
     ) {
         val content = traits.last()
+
+        /** Whether the request had been begun to be answered before this run, which resumes it. */
+        var isResumed = false
     }
 
     private val random = SplittableRandom(seed)
@@ -79,6 +86,16 @@
         }
         val others = ((scenario.warmUp + DURATION) / scenario.otherCrashInterval).toInt()
         repeat(others) { at(randomUntil(scenario.warmUp + DURATION)) { crash(random.nextInt(scenario.endpoints)) } }
+        if (scenario.hasSeriesOfEnds) {
+            for ((zone, start) in SERIES_STARTS.withIndex()) {
+                (0 until scenario.endpoints).filter { zoneOf(it) == zone }.forEachIndexed { n, endpoint ->
+                    at(scenario.warmUp + start + SERIES_INTERVAL * n) { crash(endpoint) }
+                }
+            }
+        }
+        repeat((scenario.warmUp + DURATION).inWholeSeconds.toInt()) { second ->
+            at(second.seconds) { guards.forEach { it.expire(time.now) } }
+        }
         time.runAll()
         counts.maxCrashes = maxOf(counts.maxCrashes, crashesByHarmful.size)
         val fifth = crashesByHarmful.getOrNull(FIFTH) ?: return
@@ -121,25 +138,43 @@
         val start = starts[endpoint]
         time.after((BEGIN_MILLIS + random.nextInt(BEGIN_MILLIS)).milliseconds) {
             if (starts[endpoint] != start || run !in waiting) return@after
-            if (run.isHarmful) {
-                crashesByHarmful += time.now
-                crash(endpoint)
-            } else {
-                run.isBegun = true
-                val suspected = guards[run.instance].onAnswered(time.now, run.traits)
-                if (suspected.isNotEmpty()) send(run.instance, CrashNews(answered = suspected))
+            val endsAfter = scenario.endsAfter
+            if (!run.isHarmful) {
+                onBegun(run)
                 time.after(scenario.answerTime) { complete(endpoint, start, run) }
+            } else if (endsAfter == null) {
+                crashUnder(run, endpoint)
+            } else {
+                onBegun(run)
+                time.after(endsAfter) { if (starts[endpoint] == start && run in waiting) crashUnder(run, endpoint) }
             }
         }
     }
 
+    private fun crashUnder(
+        run: Run,
+        endpoint: Int,
+    ) {
+        check(run.isHarmful)
+        crashesByHarmful += time.now
+        crash(endpoint)
+    }
+
+    private fun onBegun(run: Run) {
+        run.isBegun = true
+        val suspected = guards[run.instance].onAnswered(time.now, run.traits)
+        if (suspected.isNotEmpty()) send(run.instance, CrashNews(answered = suspected))
+    }
+
     private fun complete(
         endpoint: Int,
         start: Long?,
         run: Run,
     ) {
         if (starts[endpoint] != start || running[endpoint]?.remove(run) != true) return
-        if (guards[run.instance].onCompleted(run.content)) send(run.instance, CrashNews(completed = setOf(run.content)))
+        val proven = if (run.isResumed) setOf(run.content) else run.traits
+        val suspected = guards[run.instance].onCompleted(time.now, proven)
+        if (suspected.isNotEmpty()) send(run.instance, CrashNews(completed = suspected))
     }
 
     private fun <T> List<T>.randomOrNull(): T? = if (isEmpty()) null else get(random.nextInt(size))
@@ -170,13 +205,13 @@
         observedAt: Timestamp,
     ) {
         val requests = runs.filterNot { it.isBegun }.map { it.traits }
-        val begun = runs.filter { it.isBegun }.mapTo(LinkedHashSet()) { it.content }
+        val begun = runs.filter { it.isBegun }.map { it.traits }
         guards[instance].onCrash(observedAt, process, requests, begun)
         for (delay in listOf(Duration.ZERO, 250.milliseconds, 1.seconds)) {
             time.after(delay) {
                 val isLasting = guards[instance].lastingNews(time.now).crashes.any { it.process == process }
                 if (delay > Duration.ZERO && !isLasting) return@after
-                val report = CrashReport(process, requests, (time.now - observedAt).inWholeMilliseconds, begun)
+                val report = CrashReport.of(process, requests, begun, (time.now - observedAt).inWholeMilliseconds)
                 send(instance, CrashNews(listOf(report), guards[instance].known(requests.flatten())))
             }
         }
@@ -190,9 +225,10 @@
         observedAt: Timestamp,
     ) {
         val requests = runs.filterNot { it.isBegun }.map { it.traits }
-        guards[instance].onSilent(observedAt, process, requests)
+        val begun = runs.filter { it.isBegun }.map { it.traits }
+        guards[instance].onSilent(observedAt, process, requests, begun)
         val age = (time.now - observedAt).inWholeMilliseconds
-        val report = CrashReport(process, requests, age, isConfirmed = false)
+        val report = CrashReport.of(process, requests, begun, age, isConfirmed = false)
         send(instance, CrashNews(listOf(report), guards[instance].known(requests.flatten())))
         keep(instance)
         guards.forEach { guard -> time.after(SILENCE_RETENTION) { guard.expire(time.now) } }
@@ -220,7 +256,9 @@
     /** Streams that have begun are resumed as often as needed. */
     private fun sendAgain(runs: List<Run>) =
         runs.filter { it.attempt < MAX_ATTEMPTS || it.isBegun }.forEach {
-            onArrival(Run(it.instance, it.traits, it.isHarmful, it.attempt + 1))
+            val next = Run(it.instance, it.traits, it.isHarmful, it.attempt + 1)
+            next.isResumed = it.isResumed || it.isBegun
+            onArrival(next)
         }
 
     private fun send(
@@ -237,8 +275,8 @@
         to: Int,
         news: CrashNews,
     ) {
-        val known = guards[to].merge(time.now, news)
-        if (known.isNotEmpty()) send(to, CrashNews(known = known))
+        val answer = guards[to].merge(time.now, news)
+        if (answer != CrashNews()) send(to, answer)
         if (news.crashes.isNotEmpty()) keep(to)
     }
 
@@ -246,12 +284,7 @@
     private fun keep(instance: Int) {
         if (scenario.isStoreDown) return
         val news = guards[instance].lastingNews(time.now)
-        if (news.crashes.isEmpty() ||
-            stored[instance]?.second?.crashes?.map { it.copy(ageMillis = 0) } ==
-            news.crashes.map { it.copy(ageMillis = 0) }
-        ) {
-            return
-        }
+        if (news.crashes.all(::isStored)) return
         stored[instance] = time.now to news
         time.after(STORE_DELAY) {
             guards.indices.filter { it != instance }.forEach { reader ->
@@ -263,6 +296,14 @@
         }
     }
 
+    private fun isStored(report: CrashReport): Boolean {
+        val inStore = stored.values.flatMap { (_, news) -> news.crashes.filter { it.process == report.process } }
+        return inStore.any { it.isConfirmed || !report.isConfirmed } &&
+            inStore.flatMapTo(HashSet()) { it.unanswered }.containsAll(report.unanswered) &&
+            inStore.flatMapTo(HashSet()) { it.begun }.containsAll(report.begun) &&
+            inStore.flatMapTo(HashSet()) { it.begunRequests }.containsAll(report.begunRequests)
+    }
+
     private fun isCut(
         from: Int,
         to: Int,
@@ -289,6 +330,8 @@
         const val BEGIN_MILLIS = 60
         const val MAX_TRANSIT_MILLIS = 4
         val DURATION = 30.seconds
+        val SERIES_STARTS = listOf(8.seconds, 20.seconds)
+        val SERIES_INTERVAL = 150.milliseconds
         val DOWN_TIME = 3.seconds
         val DETECTION_TIME = 27.milliseconds
 
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulRequestGuardTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/HarmfulRequestGuardTest.kt
@@ -112,17 +112,100 @@
         (1..5).forEach {
             expectThat(guard.rejections).isEmpty()
             guard.onAnswered(at(it * 200 - 50), traits("part", "content/1"))
-            guard.onCrash(at(it * 200), process(it), emptyList(), begun = setOf(content))
+            guard.onCrash(at(it * 200), process(it), emptyList(), begun = listOf(setOf(content)))
         }
         expectThat(guard.rejections).isEqualTo(setOf(traits("content/1")))
         expectThat(guard.lastingNews(at(1_000)).crashes.map { it.begun }).isEqualTo(List(5) { setOf(content) })
-        expectThat(guard.onCompleted(content)).isEqualTo(true)
+        expectThat(guard.onCompleted(at(1_100), setOf(content))).isEqualTo(setOf(content))
+        expectThat(guard.rejections).isEmpty()
+    }
+
+    private fun HarmfulRequestGuard.lateCrash(
+        number: Int,
+        vararg begun: Set<RequestTrait>,
+    ) = onCrash(at(number * 200), process(number), emptyList(), begun.toList())
+
+    @Test
+    fun `rejects a part whose answers were begun at five ends and never completed`() {
+        guard.onCompleted(at(0), traits("popular"))
+        (1..5).forEach {
+            expectThat(guard.rejections).isEmpty()
+            guard.onAnswered(at(it * 200 - 50), traits("popular", "bad", "content/$it"))
+            guard.lateCrash(it, traits("popular", "bad", "content/$it"), traits("popular", "content/sound$it"))
+            guard.onCompleted(at(it * 200 + 50), traits("popular", "content/other$it"))
+        }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("bad")))
+        expectThat(guard.onCompleted(at(1_100), traits("bad"))).isEqualTo(traits("bad"))
+        expectThat(guard.rejections).isEmpty()
+    }
+
+    @Test
+    fun `counts ends before and after the first events of answers together`() {
+        guard.onAnswered(at(0), traits("bad"))
+        (1..5).forEach {
+            val request = traits("bad", "content/$it")
+            if (it % 2 == 0) guard.crash(it, request) else guard.lateCrash(it, request)
+        }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("bad")))
+    }
+
+    @Test
+    fun `needs more late ends against a part of which answers were completed before`() {
+        guard.onCompleted(at(0), traits("part"))
+        (1..7).forEach { guard.lateCrash(it, traits("part", "content/$it")) }
+        expectThat(guard.rejections).isEmpty()
+        guard.lateCrash(8, traits("part", "content/8"))
+        expectThat(guard.rejections).isEqualTo(setOf(traits("part")))
+    }
+
+    @Test
+    fun `a completion after the ends clears a part, and one from before does not`() {
+        guard.onCompleted(at(900), traits("part"))
+        (1..12).forEach { guard.lateCrash(it, traits("part", "content/$it")) }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("part")))
+        guard.merge(at(2_500), CrashNews(completed = traits("part")))
+        expectThat(guard.rejections).isEmpty()
+        guard.lateCrash(11, traits("part", "content/13"))
         expectThat(guard.rejections).isEmpty()
     }
 
+    @Test
+    fun `rejects the content alone if all late ends are under one request`() {
+        (1..6).forEach { guard.lateCrash(it, traits("part", "content/1")) }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("content/1")))
+    }
+
+    @Test
+    fun `does not blame a new popular part for late ends under what harmful requests have in common`() {
+        (1..6).forEach { guard.lateCrash(it, traits("new", "bad", "content/$it"), traits("new", "content/sound$it")) }
+        expectThat(guard.rejections).isEqualTo(setOf(traits("new", "bad")))
+    }
+
+    @Test
+    fun `instances tell each other what was completed after an end, and late ends last`() {
+        (1..5).forEach { guard.lateCrash(it, traits("popular", "bad", "content/$it")) }
+        val news = guard.lastingNews(at(1_000))
+        val other = HarmfulRequestGuard()
+        other.onCompleted(at(100), traits("popular"))
+        expectThat(other.merge(at(2_000), news).completed).isEmpty()
+        expectThat(other.rejections).isEqualTo(setOf(traits("popular", "bad")))
+        other.onCompleted(at(2_100), traits("popular"))
+        expectThat(other.rejections).isEqualTo(setOf(traits("bad")))
+        expectThat(other.merge(at(2_200), news.copy(known = emptySet())).completed).isEqualTo(traits("popular"))
+    }
+
+    @Test
+    fun `reads reports of instances that tell only the contents of begun requests`() {
+        val reports = (1..9).map { CrashReport(process(it), emptyList(), 2_000L - it * 200, traits("content/$it")) }
+        guard.merge(at(2_000), CrashNews(reports))
+        expectThat(guard.rejections).isEmpty()
+        guard.merge(at(2_000), CrashNews(reports.map { it.copy(begun = traits("content/1")) }))
+        expectThat(guard.rejections).isEqualTo(setOf(traits("content/1")))
+    }
+
     @Test
     fun `does not hold ends that another rejection explains against a stream that was begun at them`() {
-        val begun = traits("content/stream")
+        val begun = listOf(traits("content/stream"))
         (1..9).forEach { guard.onCrash(at(it * 200), process(it), listOf(traits("part", "content/bad")), begun) }
         expectThat(guard.rejections).isEqualTo(setOf(traits("part", "content/bad")))
     }
@@ -160,7 +243,7 @@
     @Test
     fun `knows from others that a content was completed`() {
         guard.merge(at(0), CrashNews(completed = traits("content/1")))
-        (1..9).forEach { guard.onCrash(at(it * 200), process(it), emptyList(), traits("content/1")) }
+        (1..9).forEach { guard.onCrash(at(it * 200), process(it), emptyList(), listOf(traits("content/1"))) }
         expectThat(guard.rejections).isEmpty()
     }
 
@@ -206,8 +289,8 @@
     fun `tells which suspected parts are known to be answered, and learns it from others`() {
         guard.onAnswered(at(0), traits("popular"))
         val news = CrashNews(listOf(CrashReport(process(1), listOf(traits("popular", "bad")))))
-        expectThat(guard.merge(at(100), news)).isEqualTo(traits("popular"))
-        expectThat(guard.merge(at(100), news.copy(known = traits("popular")))).isEmpty()
+        expectThat(guard.merge(at(100), news).known).isEqualTo(traits("popular"))
+        expectThat(guard.merge(at(100), news.copy(known = traits("popular"))).known).isEmpty()
 
         val other = HarmfulRequestGuard()
         other.merge(at(100), CrashNews(known = traits("popular")))
@@ -259,6 +342,27 @@
         }
     }
 
+    @Test
+    fun `a fleet stops a part under which endpoints end late in an answer, and rejects no sound request`() {
+        val late = HarmfulPartScenario("ends late in an answer", endsAfter = 60.milliseconds, answerTime = 2.seconds)
+        val scenarios =
+            listOf(
+                late,
+                late.copy(name = "ends two seconds into an answer", endsAfter = 2.seconds, answerTime = 3.seconds),
+                late.copy(name = "late ends, 24 instances", instances = 24, requestsPerSecond = 150),
+                late.copy(name = "late ends, a third of the datagrams lost", lossShare = 0.33),
+                late.copy(name = "late ends, a zone cut off", isZoneCut = true),
+                late.copy(name = "late ends, others as well", otherCrashInterval = 2.seconds),
+                late.copy(name = "late ends, all parts new", warmUp = Duration.ZERO),
+                late.copy(name = "late ends, series of others", hasSeriesOfEnds = true),
+                late.copy(name = "late silent ends", isSilent = true),
+            )
+        for (counts in scenarios.map(::simulate)) {
+            expectThat(counts.maxLateArrivals).isLessThanOrEqualTo(MAX_LATE_ARRIVALS)
+            expectThat(counts.soundRejected * MAX_SOUND_REJECTED_ONE_IN).isLessThanOrEqualTo(counts.sound)
+        }
+    }
+
     @Test
     fun `a harmful part goes on ending endpoints if instances do not share what they observe`() {
         val alone = HarmfulPartScenario("without exchange", instances = 30, lossShare = 1.0, isStoreDown = true)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -99,7 +99,7 @@
         val from = endpoint ?: return
         context.directory.onSuccess(from.id, startedAt)
         // An endpoint that fails part of its requests need not have run this one.
-        if (!isRefusal(head) && isDeliverable(head) && head.status < SERVER_ERROR) onCompleted()
+        if (!isRefusal(head) && isDeliverable(head) && head.status < SERVER_ERROR) onCompleted(isSingleRun = true)
         val answer = body.toByteArray()
         when {
             isRefusal(head) -> onRefused(head, from)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/EndpointLosses.kt
@@ -24,8 +24,8 @@
     val at: Timestamp,
     /** The traits of each request that it had not begun to answer. */
     val unanswered: List<Set<RequestTrait>>,
-    /** The contents of the requests that it had begun to answer. */
-    val begun: Set<RequestTrait>,
+    /** The traits of each request that it had begun to answer. */
+    val begun: List<Set<RequestTrait>>,
 )
 
 /**
@@ -234,6 +234,7 @@
             "unanswered" to crash.unanswered.size,
             "begun" to crash.begun.size,
             "traits" to mostFrequent(crash.unanswered),
+            "begun_traits" to mostFrequent(crash.begun),
         )
         onCrash(crash)
     }
@@ -244,8 +245,7 @@
         ended: AttemptsOfEnded,
     ): EndpointCrash {
         val (begun, unanswered) = ended.attempts.partition { it.isBegun }
-        val contents = begun.flatMap { it.traits }.filterTo(LinkedHashSet()) { it.isContent }
-        return EndpointCrash(endpoint, at, unanswered.map { it.traits }, contents)
+        return EndpointCrash(endpoint, at, unanswered.map { it.traits }, begun.map { it.traits })
     }
 
     private fun mostFrequent(requests: List<Set<RequestTrait>>): List<Map.Entry<RequestTrait, Int>> {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -48,8 +48,8 @@
     fun rejection(traits: RequestTraits): Set<RequestTrait>? =
         if (guard.rejections.isEmpty()) null else guard.rejection(traits.all)
 
-    /** Returns whether an endpoint has ended that had not completely answered a request with this content. */
-    fun isSuspected(traits: RequestTraits): Boolean = !guard.isIdle && guard.isSuspected(traits.content)
+    /** Returns whether a request must not run again before it is known whether its endpoint has ended. */
+    fun isSuspected(traits: RequestTraits): Boolean = !guard.isIdle && guard.isSuspected(traits.all)
 
     /** Returns how long requests with all traits of [rejection] are rejected from now on, unless more ends follow. */
     fun rejectedFor(rejection: Set<RequestTrait>): Duration = guard.rejectedFor(monotonicNow(), rejection)
@@ -63,11 +63,17 @@
         send(CrashNews(answered = suspected))
     }
 
-    /** Records that an endpoint has completely answered a request with [traits]. */
-    fun onCompleted(traits: RequestTraits) {
-        if (guard.isIdle) return
-        val content = traits.content
-        if (update { guard.onCompleted(content) }) send(CrashNews(completed = setOf(content)))
+    /** Records that a request with [traits] was completely answered, by several runs unless [isSingleRun]. */
+    fun onCompleted(
+        traits: RequestTraits,
+        isSingleRun: Boolean,
+    ) {
+        val proven = if (isSingleRun) traits.parts else emptySet()
+        val completed = if (guard.isIdle) proven else proven + traits.content
+        val suspected = update { guard.onCompleted(monotonicNow(), completed) }
+        if (suspected.isEmpty()) return
+        EventLog.info("requests are no longer suspected, since one was completed", "traits" to suspected)
+        send(CrashNews(completed = suspected))
     }
 
     /** Records the end of an endpoint that this instance has observed, and tells the other instances. */
@@ -76,7 +82,7 @@
         val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
         val requests = crash.unanswered.distinct()
         if (requests.isEmpty() && crash.begun.isEmpty()) return
-        update { guard.onCrash(crash.at, process, requests, crash.begun) }
+        update { guard.onCrash(crash.at, process, requests, crash.begun.distinct()) }
         checkStored()
         tell(crash, process)
         RESEND_DELAYS.forEach { delay ->
@@ -92,8 +98,8 @@
     fun onSilent(crash: EndpointCrash) {
         val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
         val requests = crash.unanswered.distinct()
-        if (requests.isEmpty()) return
-        update { guard.onSilent(crash.at, process, requests) }
+        if (requests.isEmpty() && crash.begun.isEmpty()) return
+        update { guard.onSilent(crash.at, process, requests, crash.begun.distinct()) }
         checkStored()
         tell(crash, process, isConfirmed = false)
     }
@@ -123,23 +129,26 @@
                 ),
             )
         }
-        if (!isConfirmed) return
-        for (some in crash.begun.take(MAX_REPORTED_REQUESTS).chunked(CONTENTS_PER_DATAGRAM)) {
-            send(CrashNews(listOf(CrashReport(process, unanswered = emptyList(), age, some.toSet()))))
+        for (some in crash.begun
+            .distinct()
+            .take(MAX_REPORTED_REQUESTS)
+            .chunked(REQUESTS_PER_DATAGRAM)) {
+            send(CrashNews(listOf(CrashReport.of(process, unanswered = emptyList(), begun = some, age, isConfirmed))))
         }
     }
 
     /** Merges the [news] that another instance has sent. */
     fun onNews(news: CrashNews) {
         val now = monotonicNow()
-        val known = update { guard.merge(now, news) }
+        val answer = update { guard.merge(now, news) }
         if (news.crashes.isNotEmpty()) checkStored()
         news.known.forEach { toldKnownAt[it] = now }
-        val untold = known.filterTo(LinkedHashSet()) { toldKnownAt[it]?.let { told -> now - told >= TOLD_TTL } ?: true }
-        if (untold.isEmpty()) return
+        val untold =
+            answer.known.filterTo(LinkedHashSet()) { toldKnownAt[it]?.let { told -> now - told >= TOLD_TTL } ?: true }
+        if (untold.isEmpty() && answer.completed.isEmpty()) return
         if (toldKnownAt.size > MAX_TOLD_TRAITS) toldKnownAt.clear()
         untold.forEach { toldKnownAt[it] = now }
-        send(CrashNews(known = untold))
+        send(CrashNews(known = untold, completed = answer.completed))
     }
 
     /** Merges the [news] that the object [name] of the store has; they were written [age] ago. */
@@ -184,7 +193,8 @@
             news.crashes.all { report ->
                 val inStore = reportsInStore(report.process).filter { it.isConfirmed || !report.isConfirmed }
                 inStore.flatMapTo(HashSet()) { it.unanswered }.containsAll(report.unanswered) &&
-                    inStore.flatMapTo(HashSet()) { it.begun }.containsAll(report.begun)
+                    inStore.flatMapTo(HashSet()) { it.begun }.containsAll(report.begun) &&
+                    inStore.flatMapTo(HashSet()) { it.begunRequests }.containsAll(report.begunRequests)
             }
         return news.takeUnless { isStored }
     }
@@ -208,6 +218,5 @@
 
         /** Keeps a datagram below the usual size of a packet. */
         const val REQUESTS_PER_DATAGRAM = 6
-        const val CONTENTS_PER_DATAGRAM = 20
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -122,10 +122,10 @@
     /** Called when an endpoint has begun to answer the request. */
     protected fun onAnswered() = context.harmful.onAnswered(request.traits)
 
-    /** Called when an endpoint has completely answered the request. */
-    protected fun onCompleted() {
+    /** Called when the request is completely answered, by several runs unless [isSingleRun]. */
+    protected fun onCompleted(isSingleRun: Boolean) {
         onAnswered()
-        context.harmful.onCompleted(request.traits)
+        context.harmful.onCompleted(request.traits, isSingleRun)
     }
 
     /** Starts one attempt at an endpoint that may receive the request. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -32,6 +32,9 @@
     private val model: ModelLayout?,
 ) : RelaySession(context, request) {
     private val position = StreamPosition(exchange.header(LAST_EVENT_ID)?.trim()?.toLongOrNull())
+
+    /** Whether the caller has received events of the answer before this request. */
+    private val isResumedByCaller = position.last != null
     private val reader = StreamReader(position, quota = context.http.buffers)
     private val failureBody = context.http.newAnswerBuffer()
     private val tokens =
@@ -383,7 +386,7 @@
             return
         }
         if (!answerBegun) beginAnswer(current)
-        onCompleted()
+        onCompleted(isSingleRun = !isResumedByCaller && reader.runEvents == forwardedEvents)
         complete(current.status)
         exchange.endStream()
     }
