Judge heads by the limit in force, also on open connections

Cause: the decoder of a connection gets its limits when the connection is opened, and cannot change them. The limits on bodies and on time are read when they are needed.

Change: the decoder has no limit of its own any more. HeadLimit counts the request line and the fields of each head and compares them with the limit in force; a raised limit holds for a head that is being received, a lowered one from the next head on, as for timeouts. HeadLimitHandler rejects a head that grows over the limit before it is complete, so that a line without end does not use up memory. While no configuration is known, a head or a body above the built-in limits is refused as not run with 503 and Retry-After, since a caller does not repeat 413 or 431.

Looked at for the same cause: limits on bodies, idle and request timeouts are read when needed; the number of callers' connections, TLS and retry limits are settings of the process and in no configuration. max_conns of a service is decoded and used nowhere in the relay, so it cannot be out of date; that it bounds nothing is open.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpServer.kt
@@ -27,6 +27,8 @@
     val maxConnections: Int = 4_096,
     val requestTimeout: Duration = 10.seconds,
     val idleTimeout: Duration = 75.seconds,
+    /** Whether the limits on requests are those of a configuration, so that a request above them is never served. */
+    val areLimitsFinal: Boolean = true,
 )
 
 /** An HTTP/1.1 listener that passes each complete request to [handler] on an event loop thread. */
@@ -104,19 +106,22 @@
                 return
             }
             connections.add(channel)
+            val headLimit = HeadLimit { settings.maxHeaderBytes }
+            val headLimitHandler = HeadLimitHandler(headLimit)
             val config =
                 HttpDecoderConfig()
-                    .setMaxHeaderSize(settings.maxHeaderBytes)
-                    .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                    .setHeadersFactory(BoundedHeadersFactory())
+                    .setMaxHeaderSize(Int.MAX_VALUE)
+                    .setMaxInitialLineLength(Int.MAX_VALUE)
+                    .setHeadersFactory(headLimit)
                     .setTrailersFactory(BoundedHeadersFactory())
             tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
             channel.pipeline().addLast(
                 // A server may send an answer in many tiny parts; those of one iteration of the loop share a flush.
                 FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true),
                 newTimeoutHandler(),
+                headLimitHandler,
                 HttpServerCodec(config),
-                RequestAssembler(bodies) { settings.maxBodyBytes },
+                RequestAssembler(bodies, headLimit, headLimitHandler) { settings },
                 ServerExchangeHandler({ closing }, handler),
             )
         }
@@ -137,7 +142,6 @@
         const val MAX_BUFFERED_BYTES = 16 * 1024 * 1024
         const val LOW_MARK = 16 * 1024
         const val HIGH_MARK = 64 * 1024
-        const val MAX_INITIAL_LINE_BYTES = 8 * 1024
         const val MAX_CONSOLIDATED_FLUSHES = 256
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import oriolespindle.core.relay.ByteQuota
 import oriolespindle.core.relay.GrowingBuffer
@@ -38,7 +39,9 @@
 ) : ReceivedRequest
 
 /**
- * Aggregates each request with its body, which may have as many bytes as [maxBodyBytes] returns.
+ * Aggregates each request with its body, which may have as many bytes as [settings] allow.
+ *
+ * A request that is larger than a limit is refused as not run, to be sent again, while the limits are not final.
  *
  * The bodies of all connections share [quota]; a request for whose body nothing is left is refused as not run.
  *
@@ -47,7 +50,9 @@
  */
 internal class RequestAssembler(
     private val quota: ByteQuota,
-    private val maxBodyBytes: () -> Int,
+    private val headLimit: HeadLimit,
+    private val headLimitHandler: HeadLimitHandler,
+    private val settings: () -> HttpServerSettings,
 ) : ChannelInboundHandlerAdapter() {
     private var head: HttpRequest? = null
     private var body = newBody()
@@ -69,7 +74,7 @@
         message: HttpObject,
     ) {
         if (message.decoderResult().isFailure) {
-            reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request is not valid HTTP/1.1")
+            rejectUndecoded(ctx, message.decoderResult().cause())
             return
         }
         if (message is HttpRequest) begin(ctx, message)
@@ -77,18 +82,43 @@
         if (message is LastHttpContent && !rejected) complete(ctx)
     }
 
+    private fun rejectUndecoded(
+        ctx: ChannelHandlerContext,
+        cause: Throwable?,
+    ) {
+        if (cause is TooLongHttpHeaderException) {
+            rejectLongHead(ctx)
+        } else {
+            reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request is not valid HTTP/1.1")
+        }
+    }
+
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is HeadTooLong) {
+            if (!rejected) rejectLongHead(ctx)
+        } else {
+            ctx.fireUserEventTriggered(event)
+        }
+    }
+
     private fun begin(
         ctx: ChannelHandlerContext,
         request: HttpRequest,
     ) {
+        headLimitHandler.onHeadComplete()
         val lengths = request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH)
         val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val ambiguous = lengths.size > 1 || encodings.size > 1 || (lengths.isNotEmpty() && encodings.isNotEmpty())
         val unsupported = encodings.any { !it.equals("chunked", ignoreCase = true) }
         val length = HttpUtil.getContentLength(request, 0L)
-        if (ambiguous || unsupported) {
+        if (!headLimit.allows(request)) {
+            rejectLongHead(ctx)
+        } else if (ambiguous || unsupported) {
             reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request's framing is ambiguous")
-        } else if (length > maxBodyBytes()) {
+        } else if (length > settings().maxBodyBytes) {
             rejectTooLarge(ctx)
         } else {
             head = request
@@ -107,7 +137,7 @@
         content: HttpContent,
     ) {
         val bytes = ByteArray(content.content().readableBytes())
-        if (bytes.size > maxBodyBytes() - body.size) {
+        if (bytes.size > settings().maxBodyBytes - body.size) {
             rejectTooLarge(ctx)
             return
         }
@@ -120,10 +150,11 @@
         val received = AssembledRequest(request, body)
         head = null
         body = newBody()
+        headLimitHandler.onRequestComplete()
         ctx.fireChannelRead(received)
     }
 
-    private fun newBody() = GrowingBuffer(quota, maxBodyBytes())
+    private fun newBody() = GrowingBuffer(quota, settings().maxBodyBytes)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         body.clear()
@@ -138,8 +169,29 @@
     }
 
     private fun rejectTooLarge(ctx: ChannelHandlerContext) {
-        val message = "the body is larger than ${maxBodyBytes()} bytes"
-        reject(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", message)
+        val message = "the body is larger than ${settings().maxBodyBytes} bytes"
+        rejectOverLimit(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", message)
+    }
+
+    private fun rejectLongHead(ctx: ChannelHandlerContext) {
+        val message = "the head is larger than ${settings().maxHeaderBytes} bytes or has too many fields"
+        rejectOverLimit(ctx, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", message)
+    }
+
+    private fun rejectOverLimit(
+        ctx: ChannelHandlerContext,
+        status: HttpResponseStatus,
+        reason: String,
+        message: String,
+    ) {
+        EventLog.info("request above a limit", "reason" to reason, "is_final" to settings().areLimitsFinal)
+        if (settings().areLimitsFinal) {
+            reject(ctx, status, reason, message)
+        } else {
+            val retryAfter = "Retry-After" to RETRY_AFTER_SECONDS
+            val text = "the limits on requests are not known yet"
+            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "configuration_missing", text, retryAfter)
+        }
     }
 
     private fun reject(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -333,7 +333,9 @@
         )
 
     private fun serverSettings(configuration: RelayConfiguration?): HttpServerSettings {
-        val limits = configuration?.limits ?: return HttpServerSettings(maxConnections = settings.maxConnections)
+        val limits =
+            configuration?.limits
+                ?: return HttpServerSettings(maxConnections = settings.maxConnections, areLimitsFinal = false)
         return HttpServerSettings(
             maxBodyBytes = limits.maxBodyBytes,
             maxHeaderBytes = limits.maxHeaderBytes,
