Give remembered ends of endpoints a file of their own

RecordedCrash and CrashCandidate move out of it, and functions about begun requests say so in their names.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -25,55 +25,24 @@
  * for the same ends.
  *
  * A process that is silent and out of reach counts as ended for a short time, unless it sends something or its end is
- * confirmed. Such ends count only against traits of which no request was ever answered, since an instance that is cut
- * off from many endpoints must not reject what others serve.
+ * confirmed. Such ends count only against traits of which no request was ever answered, or completed if the answers
+ * were begun, since an instance that is cut off from many endpoints must not reject what others serve.
  *
  * Each instance decides alone, by the reports of all. Confined to one thread.
  */
 public class HarmfulRequestGuard(
     private val settings: HarmfulRequestSettings = HarmfulRequestSettings(),
 ) {
-    private class Crash(
-        val process: EndpointProcess,
-        val at: Timestamp,
-    ) {
-        var isConfirmed = false
-        val requests = LinkedHashSet<Set<RequestTrait>>()
-        val begun = LinkedHashSet<RequestTrait>()
-        val begunRequests = LinkedHashSet<Set<RequestTrait>>()
-
-        /** Returns the requests with [trait] that were not completed. */
-        fun incomplete(trait: RequestTrait): List<Set<RequestTrait>> =
-            listOf(requests, begunRequests).flatMap { some -> some.filter { trait in it } }
-
-        fun isExplainedBy(rejections: Collection<Set<RequestTrait>>): Boolean =
-            rejections.any { rejected ->
-                requests.any { it.containsAll(rejected) } || begunRequests.any { it.containsAll(rejected) } ||
-                    begun.containsAll(rejected)
-            }
-    }
-
-    /** A trait that may be harmful, with the ends at which it is suspected. */
-    private class Candidate(
-        val crashes: List<Crash>,
-        val count: Int,
-        /** The traits that were in all its requests. */
-        val common: Set<RequestTrait>,
-        val requestsPerCrash: Double = 1.0,
-        /** Whether requests with it were completed before these ends. */
-        val isKnownComplete: Boolean = false,
-    )
-
-    private val crashes = LinkedHashMap<EndpointProcess, Crash>()
+    private val crashes = LinkedHashMap<EndpointProcess, RecordedCrash>()
 
     /** The [crashes] by the traits of their requests. */
-    private val crashesByTrait = HashMap<RequestTrait, LinkedHashSet<Crash>>()
+    private val crashesByTrait = HashMap<RequestTrait, LinkedHashSet<RecordedCrash>>()
 
     /** The [crashes] by the contents of all their requests, also of those that were begun to be answered. */
-    private val crashesByContent = HashMap<RequestTrait, LinkedHashSet<Crash>>()
+    private val crashesByContent = HashMap<RequestTrait, LinkedHashSet<RecordedCrash>>()
 
     /** The [crashes] by the parts of requests that were begun to be answered, unless one was completed since. */
-    private val crashesByBegunPart = HashMap<RequestTrait, LinkedHashSet<Crash>>()
+    private val crashesByBegunPart = HashMap<RequestTrait, LinkedHashSet<RecordedCrash>>()
 
     /** When requests with a trait were last begun to be answered; null if only another instance has seen so. */
     private val answeredAt =
@@ -248,7 +217,7 @@
     /** Whether no request with [part] was completed since [crash]. */
     private fun isOpen(
         part: RequestTrait,
-        crash: Crash,
+        crash: RecordedCrash,
     ): Boolean = !part.isContent && completedAt[part]?.let { it < crash.at } ?: true
 
     /** Returns the known ones of [traits]. */
@@ -261,11 +230,7 @@
      */
     public fun lastingNews(now: Timestamp): CrashNews {
         val repeated = crashesByTrait.filterValues { it.size >= MIN_REPEATED }.keys.filterTo(HashSet(), ::isRepeated)
-        val contents =
-            crashesByContent.filterValues { it.size >= MIN_REPEATED }.keys.filterTo(
-                HashSet(),
-                ::isRepeatedContent,
-            )
+        val contents = crashesByContent.keys.filterTo(HashSet(), ::isRepeatedContent)
         val begunParts = crashesByBegunPart.keys.filterTo(HashSet(), ::isRepeatedPart)
         if (repeated.isEmpty() && contents.isEmpty() && begunParts.isEmpty()) return CrashNews()
         val reports =
@@ -287,11 +252,11 @@
         trait !in answeredAt && countMoments(suspectedAt(trait)) >= MIN_REPEATED
 
     private fun isRepeatedContent(content: RequestTrait): Boolean =
-        content !in completedAt && areRepeated(crashesByContent[content].orEmpty())
+        areRepeated(crashesByContent[content].orEmpty()) && content !in completedAt
 
     private fun isRepeatedPart(part: RequestTrait): Boolean = areRepeated(incompleteAt(part))
 
-    private fun areRepeated(crashes: Collection<Crash>): Boolean =
+    private fun areRepeated(crashes: Collection<RecordedCrash>): Boolean =
         crashes.size >= MIN_REPEATED && countMoments(crashes) >= MIN_REPEATED
 
     /** Records the end in [report]; returns whether anything of it was not known. */
@@ -302,7 +267,7 @@
         val at = report.endedAt(now)
         if (now - at > retention(report.isConfirmed)) return false
         val isNew = report.process !in crashes
-        val crash = crashes.getOrPut(report.process) { Crash(report.process, at) }
+        val crash = crashes.getOrPut(report.process) { RecordedCrash(report.process, at) }
         val isNewlyConfirmed = report.isConfirmed && !crash.isConfirmed
         crash.isConfirmed = crash.isConfirmed || report.isConfirmed
         val added = addUnanswered(crash, report) + addBegunContents(crash, report) + addBegunRequests(crash, report)
@@ -311,7 +276,7 @@
     }
 
     private fun addUnanswered(
-        crash: Crash,
+        crash: RecordedCrash,
         report: CrashReport,
     ): Int {
         val room = maxOf(settings.maxRequestsPerCrash - crash.requests.size, 0)
@@ -325,7 +290,7 @@
     }
 
     private fun addBegunContents(
-        crash: Crash,
+        crash: RecordedCrash,
         report: CrashReport,
     ): Int {
         val room = maxOf(settings.maxRequestsPerCrash - crash.begun.size, 0)
@@ -338,7 +303,7 @@
     }
 
     private fun addBegunRequests(
-        crash: Crash,
+        crash: RecordedCrash,
         report: CrashReport,
     ): Int {
         val room = maxOf(settings.maxRequestsPerCrash - crash.begunRequests.size, 0)
@@ -367,7 +332,7 @@
         }
 
     /** Returns the ends at which [trait] is suspected: those since a request with it was last answered. */
-    private fun suspectedAt(trait: RequestTrait): List<Crash> {
+    private fun suspectedAt(trait: RequestTrait): List<RecordedCrash> {
         val since = answeredAt[trait]
         return crashesByTrait[trait].orEmpty().filter { since == null || it.at > since }
     }
@@ -377,7 +342,7 @@
      *
      * There are none unless the answer to one of these requests was begun; other parts are judged by [suspectedAt].
      */
-    private fun incompleteAt(part: RequestTrait): List<Crash> {
+    private fun incompleteAt(part: RequestTrait): List<RecordedCrash> {
         val begun = crashesByBegunPart[part] ?: return emptyList()
         return (begun + crashesByTrait[part].orEmpty()).filter { isOpen(part, it) }
     }
@@ -391,8 +356,8 @@
                 .filter { it.count >= settings.maxCrashes }
         val specific = unknown.filterNot { candidate -> unknown.any { explainsAsWell(it, candidate) } }
         val found = specific.mapTo(LinkedHashSet()) { it.common }
-        found += neverCompletedParts(found)
-        found += neverCompleted(found).map(::setOf)
+        found += harmfulBegunParts(found)
+        found += harmfulContents(found).map(::setOf)
         val known =
             repeated
                 .filter { it in answeredAt }
@@ -405,7 +370,7 @@
     }
 
     /** Returns what requests have in common under which too many endpoints ended after they had begun to answer. */
-    private fun neverCompletedParts(found: Set<Set<RequestTrait>>): Set<Set<RequestTrait>> {
+    private fun harmfulBegunParts(found: Set<Set<RequestTrait>>): Set<Set<RequestTrait>> {
         // The rejection of one content does not explain what several contents have in common.
         val explained = found.filterNotTo(LinkedHashSet()) { set -> set.any { it.isContent } }
         val rejected = LinkedHashSet<Set<RequestTrait>>()
@@ -414,7 +379,7 @@
                 .filter { (part, crashes) ->
                     crashes.size + crashesByTrait[part].orEmpty().size >= settings.maxCrashesOfBegun
                 }.keys
-                .map(::incompleteCandidate)
+                .map(::candidateOfBegun)
                 .filter { it.count >= maxCrashes(it) }
                 .sortedWith(
                     compareBy({ it.isKnownComplete }, { -it.common.size }, { -it.count }, { it.requestsPerCrash }),
@@ -426,18 +391,18 @@
         return rejected
     }
 
-    private fun maxCrashes(candidate: Candidate): Int =
+    private fun maxCrashes(candidate: CrashCandidate): Int =
         if (candidate.isKnownComplete) settings.maxCrashesOfCompleted else settings.maxCrashesOfBegun
 
-    /** Returns [part] as a candidate; one that only one request has is left to the rejection of its content. */
-    private fun incompleteCandidate(part: RequestTrait): Candidate {
+    /** Returns [part] as a candidate; one of a single request counts no ends, since its content may be rejected. */
+    private fun candidateOfBegun(part: RequestTrait): CrashCandidate {
         val isKnownComplete = part in completedAt
         val crashes = incompleteAt(part).filter { it.isConfirmed || !isKnownComplete }
         val requests = crashes.flatMap { it.incomplete(part) }
         val common = requests.reduceOrNull { common, request -> common.intersect(request) }.orEmpty()
         val open = common.filterTo(LinkedHashSet()) { it.isContent || incompleteAt(it).containsAll(crashes) }
         val count = if (open.any { it.isContent }) 0 else countMoments(crashes)
-        return Candidate(
+        return CrashCandidate(
             crashes = crashes,
             count = count,
             common = open,
@@ -447,7 +412,7 @@
     }
 
     /** Returns the contents that were never answered completely, with too many ends that [found] does not explain. */
-    private fun neverCompleted(found: Set<Set<RequestTrait>>): List<RequestTrait> =
+    private fun harmfulContents(found: Set<Set<RequestTrait>>): List<RequestTrait> =
         crashesByContent
             .filter { (content, crashes) -> crashes.size >= settings.maxCrashesOfBegun && content !in completedAt }
             .filterValues { crashes ->
@@ -458,23 +423,23 @@
 
     private fun candidate(
         trait: RequestTrait,
-        crashes: List<Crash>,
-    ): Candidate {
+        crashes: List<RecordedCrash>,
+    ): CrashCandidate {
         val requests = crashes.flatMap { crash -> crash.requests.filter { trait in it } }
         val common = requests.reduceOrNull { common, request -> common.intersect(request) }.orEmpty()
-        return Candidate(crashes, countMoments(crashes), common.filterTo(LinkedHashSet()) { it !in answeredAt })
+        return CrashCandidate(crashes, countMoments(crashes), common.filterTo(LinkedHashSet()) { it !in answeredAt })
     }
 
     /** Whether [other] explains the same ends as [candidate] and would have fewer requests rejected. */
     private fun explainsAsWell(
-        other: Candidate,
-        candidate: Candidate,
+        other: CrashCandidate,
+        candidate: CrashCandidate,
     ): Boolean =
         other.common.size > candidate.common.size && other.common.containsAll(candidate.common) &&
             other.crashes.containsAll(candidate.crashes)
 
     /** Returns the number of [crashes], of which those that were simultaneous count as one. */
-    private fun countMoments(crashes: Collection<Crash>): Int {
+    private fun countMoments(crashes: Collection<RecordedCrash>): Int {
         var count = 0
         var moment: Timestamp? = null
         for (at in crashes.map { it.at }.sorted()) {
