Release the listen address before a peer transport is closed

No caller is hurt, since an instance closes the transport at its exit only.

Cause: a socket that is registered with a selector keeps its port after it is closed, until the selector has removed its key. PeerTransport.close told the selector to end and did not wait for it. That another process or an outgoing connection took the port is ruled out: FreePorts gives ports below the ephemeral range and reserves them.

Evidence: "close returns after the listen address is released" starts a transport again on the address that was just released, up to 200 times.

Why it works: the selector's coroutine has a job that close waits for, and a selector removes the keys of closed channels before it ends.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerTransport.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/peer/PeerTransport.kt
@@ -37,7 +37,8 @@
 ) : AutoCloseable {
     private val connectionThread = newDaemonExecutor("peers")
     private val selectorThread = newDaemonExecutor("peer-selector")
-    private val selector = SelectorManager(selectorThread.asCoroutineDispatcher())
+    private val selectorJob = Job()
+    private val selector = SelectorManager(selectorThread.asCoroutineDispatcher() + selectorJob)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + connectionThread.asCoroutineDispatcher())
     private val handshake = Handshake(identity, settings.fleetKey, SecureRandom())
@@ -118,14 +119,19 @@
     }
 
     /**
-     * Closes all connections and drops the queued messages.
+     * Closes all connections and drops the queued messages. The listen address is free when it returns.
      *
-     * It waits for the transport's thread, so it must not be called from [onMessage].
+     * It waits for the transport's threads, so it must not be called from [onMessage].
      */
     override fun close() {
         closed = true
-        runBlocking { job.cancelAndJoin() }
-        selector.close()
+        runBlocking {
+            job.cancelAndJoin()
+            selector.close()
+            // A closed socket keeps its port until the selector has removed it.
+            selectorJob.complete()
+            selectorJob.join()
+        }
         connectionThread.shutdown()
         selectorThread.shutdown()
     }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/peer/PeerTransportTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.io.DataInputStream
 import java.io.DataOutputStream
@@ -134,6 +135,24 @@
         expectThat(sendUntilReceived(a, restarted)).isTrue()
     }
 
+    // Guards against an instance that cannot listen on the address which it has just released.
+    @Test
+    fun `close returns after the listen address is released`() {
+        repeat(200) { round ->
+            val a = start("a$round")
+            val b = start("b$round")
+            a.transport.connect(b.id, b.address)
+            a.transport.send(b.id, demand(round))
+            expectThat(b.next()).isNotNull()
+
+            b.transport.close()
+
+            start("b$round", port = b.address.substringAfter(':').toInt())
+            closeAll()
+            open.clear()
+        }
+    }
+
     @Test
     fun `an open connection that drops all bytes is replaced`() {
         val a = start("a")
