Testkit: listen again only once the closed listener has released its address

An outage of the store's stand-in that ended at once failed with "Address already in use" where it listens again.

Why it works: each listener has an event loop of its own, which ends with it. Binding again waits for that end, by which the loop has released its sockets.

--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
@@ -5,15 +5,20 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.util.concurrent.DefaultThreadFactory
 import io.netty.util.concurrent.GlobalEventExecutor
 import oriolespindle.testkit.Handle
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 /** The largest body that a fake reads: a platform value of 1 MiB and its envelope. */
@@ -30,6 +35,7 @@
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private lateinit var bound: InetSocketAddress
     private var listener: Channel? = null
+    private var acceptLoop: EventLoopGroup? = null
 
     @Volatile
     private var refusing = false
@@ -55,8 +61,8 @@
     @Synchronized
     fun refuse() {
         refusing = true
-        listener?.close()?.syncUninterruptibly()
-        listener = null
+        closeListener()
+        acceptLoop?.terminationFuture()?.syncUninterruptibly()
         closeConnections()
     }
 
@@ -78,16 +84,25 @@
     /** Closes the listener and resets every connection without waiting; may be called on an event loop. */
     fun reset() {
         refusing = true
+        closeListener()
+        connections.forEach { it.reset() }
+    }
+
+    private fun closeListener() {
         listener?.close()
         listener = null
-        connections.forEach { it.reset() }
+        acceptLoop?.shutdownGracefully(0, 0, TimeUnit.SECONDS)
     }
 
     private fun bind(to: InetSocketAddress) {
+        // A closed listener keeps its port until its event loop has ended or selects again.
+        acceptLoop?.terminationFuture()?.syncUninterruptibly()
+        val loop = MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("accept", true), NioIoHandler.newFactory())
+        acceptLoop = loop
         refusing = false
         val channel =
             ServerBootstrap()
-                .group(sharedLoops)
+                .group(loop, sharedLoops)
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
--- a/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/platform/PlatformFakeTest.kt
+++ b/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/platform/PlatformFakeTest.kt
@@ -54,6 +54,16 @@
         return lines
     }
 
+    // Guards against a stand-in that cannot listen again on the address which it has just released.
+    @Test
+    fun `an outage that ends at once does not find the address taken`() {
+        repeat(500) {
+            platform.inject(PlatformFault.Refuse)
+            platform.inject(PlatformFault.Healthy)
+        }
+        expectThat(client.call("GET", "/v1/objects/claim/absent").status).isEqualTo(404)
+    }
+
     private fun LinkedBlockingQueue<WatchLine>.next(): WatchLine? = poll(5, TimeUnit.SECONDS)
 
     private fun LinkedBlockingQueue<WatchLine>.nextChange(): WatchLine? =
