Give head_too_large a refusal reason and a row on the operations page

The code of heads above the limit was a string in the request assembler, so the check that each refusal reason has a row on the operations page did not see it. The assembler now takes codes and statuses from RefusalReason; answers are the same.

Evidence: HeadLimitOnOpenConnectionTest, HttpServerTest and OperationsPageTest pass.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/outcome/RefusalReason.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/outcome/RefusalReason.kt
@@ -13,6 +13,7 @@
 ) {
     UNKNOWN_CREDENTIAL("unknown_credential", 401, false),
     MALFORMED_REQUEST("malformed_request", 400, false),
+    HEAD_TOO_LARGE("head_too_large", 431, false),
     BODY_TOO_LARGE("body_too_large", 413, false),
     TOO_MANY_TOKENS("too_many_tokens", 400, false),
     MODEL_NOT_ALLOWED("model_not_allowed", 403, false),
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/RequestAssembler.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
+import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.relay.ByteQuota
 import oriolespindle.core.relay.GrowingBuffer
 import oriolespindle.router.logging.EventLog
@@ -100,7 +101,7 @@
             }
 
             else -> {
-                reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request is not valid HTTP/1.1")
+                reject(ctx, RefusalReason.MALFORMED_REQUEST, "the request is not valid HTTP/1.1")
             }
         }
     }
@@ -129,7 +130,7 @@
         if (!headLimit.allows(request)) {
             rejectLongHead(ctx)
         } else if (ambiguous || unsupported) {
-            reject(ctx, HttpResponseStatus.BAD_REQUEST, "malformed_request", "the request's framing is ambiguous")
+            reject(ctx, RefusalReason.MALFORMED_REQUEST, "the request's framing is ambiguous")
         } else if (length > settings().maxBodyBytes) {
             rejectTooLarge(ctx)
         } else {
@@ -177,51 +178,45 @@
 
     private fun rejectWithoutMemory(ctx: ChannelHandlerContext) {
         EventLog.warn("request refused: no memory for its content", "path" to head?.uri(), "bytes" to body.size)
-        val message = "too many large requests are received at once"
-        val retryAfter = "Retry-After" to RETRY_AFTER_SECONDS
-        reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "overloaded", message, retryAfter)
+        reject(ctx, RefusalReason.OVERLOADED, "too many large requests are received at once")
     }
 
     private fun rejectTooLarge(ctx: ChannelHandlerContext) {
         val message = "the body is larger than ${settings().maxBodyBytes} bytes"
-        rejectOverLimit(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", message)
+        rejectOverLimit(ctx, RefusalReason.BODY_TOO_LARGE, message)
     }
 
     private fun rejectLongHead(ctx: ChannelHandlerContext) {
         val message = "the head is larger than ${settings().maxHeaderBytes} bytes"
-        rejectOverLimit(ctx, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", message)
+        rejectOverLimit(ctx, RefusalReason.HEAD_TOO_LARGE, message)
     }
 
     private fun rejectOverLimit(
         ctx: ChannelHandlerContext,
-        status: HttpResponseStatus,
-        reason: String,
+        reason: RefusalReason,
         message: String,
     ) {
-        EventLog.info("request above a limit", "reason" to reason, "is_final" to settings().areLimitsFinal)
+        EventLog.info("request above a limit", "reason" to reason.code, "is_final" to settings().areLimitsFinal)
         if (settings().areLimitsFinal) {
-            reject(ctx, status, reason, message)
+            reject(ctx, reason, message)
         } else {
-            val retryAfter = "Retry-After" to RETRY_AFTER_SECONDS
-            val text = "the limits on requests are not known yet"
-            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "configuration_missing", text, retryAfter)
+            reject(ctx, RefusalReason.CONFIGURATION_MISSING, "the limits on requests are not known yet")
         }
     }
 
     private fun reject(
         ctx: ChannelHandlerContext,
-        status: HttpResponseStatus,
-        reason: String,
+        reason: RefusalReason,
         message: String,
-        vararg more: Pair<String, String>,
     ) {
         rejected = true
         body.clear()
         headLimit.release()
-        val text = """{"error":{"outcome":"not_run","reason":"$reason","message":"$message"}}"""
-        val headers = listOf("Oriolespindle-Outcome" to "not_run", *more)
+        val text = """{"error":{"outcome":"not_run","reason":"${reason.code}","message":"$message"}}"""
+        val retryAfter = listOf("Retry-After" to RETRY_AFTER_SECONDS).filter { reason.retryable }
+        val headers = listOf("Oriolespindle-Outcome" to "not_run") + retryAfter
         // The answers to earlier requests come first; a caller would take this one for theirs.
-        ctx.fireChannelRead(RejectedRequest(HttpAnswer.json(status.code(), text, headers)))
+        ctx.fireChannelRead(RejectedRequest(HttpAnswer.json(reason.httpStatus, text, headers)))
     }
 
     private fun continueResponse(): FullHttpResponse =
