--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/PartCrashLateInStreamTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/PartCrashLateInStreamTest.kt
@@ -2,10 +2,12 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import oriolespindle.core.id.LayerRange
 import oriolespindle.core.relay.RouteKind
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against a part of prompts that ends one engine after the other late in answers and is never rejected. */
@@ -57,8 +59,9 @@
             body = "body $name",
         )
 
-    private fun sendBoth() {
+    private fun sendBoth(beforeEach: () -> Unit = {}) {
         repeat(REQUESTS) { number ->
+            beforeEach()
             send("sound$number", "first:200,other:50")
             send("bad$number", "first:200,bad:50,other$number:10")
         }
@@ -98,11 +101,44 @@
         expectPartRejected()
     }
 
+    @Test
+    fun `engines behind the first that end after some events`() {
+        val behind = List(ENGINES) { ScriptedEndpoint("behind$it") { _, _ -> } }
+        val registered = CopyOnWriteArrayList(behind)
+        val first =
+            ScriptedEndpoint("first") { request, _ ->
+                relay.stallReport = StallReport.Alive
+                val isHarmful = "bad:" in request["Parts"].orEmpty()
+                val next = (request["Last-Event-Id"]?.toInt() ?: 0) + 1
+                val last = if (isHarmful) minOf(next + EVENTS_BEFORE_END - 1, EVENTS) else EVENTS
+                write(Scripts.streamHead(request) + (next..last).joinToString("") { Scripts.chunk(Scripts.event(it)) })
+                if (!isHarmful) return@ScriptedEndpoint write(Scripts.LAST_CHUNK)
+                val address = checkNotNull(request["Path"]).substringAfter(',').substringBefore('=')
+                Thread.sleep(CRASH_DELAY_MILLIS)
+                ended.incrementAndGet()
+                registered.first { it.address == address }.also(registered::remove).close()
+                relay.stallReport = StallReport.WaitsFor(address)
+                Thread.sleep(SILENT_MILLIS)
+            }
+        engines += behind + first
+        val layers = RelayFixture.allLayers
+        relay.configure(RelayFixture.route(RouteKind.STREAM, isResumable = true), model = RelayFixture.model)
+        sendBoth {
+            relay.register(
+                first.registration(LayerRange(layers.first, FIRST_LAYERS)),
+                *registered.map { it.registration(LayerRange(FIRST_LAYERS, layers.end)) }.toTypedArray(),
+            )
+        }
+        expectPartRejected()
+    }
+
     private companion object {
         const val ENGINES = 24
         const val REQUESTS = 14
         const val EVENTS = 6
         const val EVENTS_BEFORE_END = 3
+        const val FIRST_LAYERS = 2
+        const val SILENT_MILLIS = 20_000L
         const val CRASH_DELAY_MILLIS = 80L
 
         /** The platform's limit: three such requests may reach engines after the fifth has ended. */
