Testkit: end the accept loop of a listener that could not open

Since binding waits for the end of the former listener's event loop. If binding fails, nothing ended that loop, so the next attempt waited for it forever. It ends with the failure now.

--- a/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
+++ b/oriolespindle-testkit/src/main/kotlin/oriolespindle/testkit/http/HttpServer.kt
@@ -100,7 +100,7 @@
         val loop = MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("accept", true), NioIoHandler.newFactory())
         acceptLoop = loop
         refusing = false
-        val channel =
+        val binding =
             ServerBootstrap()
                 .group(loop, sharedLoops)
                 .channel(NioServerSocketChannel::class.java)
@@ -109,8 +109,9 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(Connection())
                 .bind(to)
-                .syncUninterruptibly()
-                .channel()
+                .awaitUninterruptibly()
+        if (!binding.isSuccess) closeListener()
+        val channel = binding.syncUninterruptibly().channel()
         bound = channel.localAddress() as InetSocketAddress
         listener = channel
     }
--- a/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/platform/PlatformFakeTest.kt
+++ b/oriolespindle-testkit/src/test/kotlin/oriolespindle/testkit/platform/PlatformFakeTest.kt
@@ -16,6 +16,9 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import java.io.IOException
+import java.net.BindException
+import java.net.InetSocketAddress
+import java.net.ServerSocket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -64,6 +67,20 @@
         expectThat(client.call("GET", "/v1/objects/claim/absent").status).isEqualTo(404)
     }
 
+    // Guards against a stand-in that waits forever for a listener that could not open.
+    @Test
+    @Timeout(20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    fun `an outage ends once nothing else uses the address`() {
+        val address = InetSocketAddress("127.0.0.1", platform.address.substringAfter(':').toInt())
+        platform.inject(PlatformFault.Refuse)
+        ServerSocket().use { other ->
+            other.bind(address)
+            expectThrows<BindException> { platform.inject(PlatformFault.Healthy) }
+        }
+        platform.inject(PlatformFault.Healthy)
+        expectThat(client.call("GET", "/v1/objects/claim/absent").status).isEqualTo(404)
+    }
+
     private fun LinkedBlockingQueue<WatchLine>.next(): WatchLine? = poll(5, TimeUnit.SECONDS)
 
     private fun LinkedBlockingQueue<WatchLine>.nextChange(): WatchLine? =
