Reject answers whose status line is not valid

What callers saw: a server in trouble sent an answer with the status 000, and the caller got it as an answer, `HTTP/1.1 0 Unknown Status (0)` with the server's signature and body. So it was with 20, 600, 2000, 00200 and +20, with HTTP/2.0 and http/1.1, with control bytes in the reason phrase, in streams and begun streams, and in interim answers. Writes to the store and orders counted as done.

Cause: Netty's decoder splits the status line at blanks and reads the status as an integer; every call of the program trusts it. A limit on the class of the status alone was ruled out: it leaves 00200, the versions and the reason phrase.

Change: AnswerHeadCheck reads the bytes of each head before the decoder does and stops at the first one that the grammar does not allow. The answer then fails like one that makes no sense did before: the attempt may have run, so a call that may run once is answered 502, another one is repeated, a stream is resumed, a write counts as lost. AnswerFault names what was wrong in the reason of an attempt, in the line `answer cannot be used` and in oriolespindle_relay_answer_faults_total; before, a head that the decoder rejected was `malformed` whatever the reason, and one that was cut was `malformed` or `connection_lost`.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/Router.kt
@@ -52,7 +52,7 @@
     private val eventLoops = MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory())
     private val metrics = Metrics()
     private val timers = TimerService()
-    private val http = HttpClient(eventLoops)
+    private val http = HttpClient(eventLoops, onFault = metrics::answerFault)
     private val platform = PlatformClient(http, settings.platform, settings.platformTimeout, metrics::platformCall)
     private val planExecutor = Executors.newSingleThreadExecutor { Thread(it, "planning").apply { isDaemon = true } }
     private val operators = Operators(settings.operatorToken?.let { KeyDigest.of(it.value) })
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientCall.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.GlobalEventExecutor
+import oriolespindle.core.http.AnswerFault
 import oriolespindle.router.logging.EventLog
 import java.io.IOException
 import java.util.concurrent.TimeUnit
@@ -59,14 +60,15 @@
         setPaused(false)
     }
 
-    internal fun fail(kind: FailureKind) {
+    /** Ends the call because of [kind] and [fault]; returns false if it had ended before. */
+    internal fun fail(
+        kind: FailureKind,
+        fault: AnswerFault? = null,
+    ): Boolean {
         val open = synchronized(this) { channel.takeUnless { ended } }
-        if (open != null) {
-            deliver(ClientEvent.Failed(kind, sent = true))
-            reset(open)
-        } else {
-            deliver(ClientEvent.Failed(kind, sent = sent))
-        }
+        val isDelivered = deliver(ClientEvent.Failed(kind, sent = open != null || sent, fault))
+        open?.let(::reset)
+        return isDelivered
     }
 
     private fun reset(connection: Channel) {
@@ -89,16 +91,21 @@
         return true
     }
 
-    /** Passes [event] to the listener, after the pending events that it could not take yet. */
+    /**
+     * Passes [event] to the listener, after the pending events that it could not take yet.
+     *
+     * Returns false if the call had ended before.
+     */
     @Synchronized
-    internal fun deliver(event: ClientEvent) {
-        if (ended) return
+    internal fun deliver(event: ClientEvent): Boolean {
+        if (ended) return false
         if (event is ClientEvent.End || event is ClientEvent.Failed) ended = true
         if (pending.isNotEmpty() || !listener(event)) {
             pending.addLast(event)
             channel?.config()?.isAutoRead = false
             scheduleRedelivery()
         }
+        return true
     }
 
     /** Releases the connection after a complete response, and returns whether another call may use it. */
@@ -144,6 +151,8 @@
 internal class ClientCallHandler(
     private val address: Address,
     private val pool: ConnectionPool,
+    /** Called with the fault of each answer that ends a call. */
+    private val onFault: (AnswerFault, cause: Throwable?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var current: ClientCall? = null
     private var isAnswer: (HttpHeaders) -> Boolean = { true }
@@ -186,7 +195,10 @@
         message: Any,
     ) {
         try {
-            if (message is HttpObject) accept(ctx, message)
+            when (message) {
+                is HttpObject -> accept(ctx, message)
+                is BrokenAnswer -> fail(ctx, FailureKind.MALFORMED, message.fault, message.cause)
+            }
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -197,8 +209,7 @@
         message: HttpObject,
     ) {
         val call = current
-        if (call == null || message.decoderResult().isFailure) {
-            call?.fail(FailureKind.MALFORMED)
+        if (call == null) {
             ctx.close()
             return
         }
@@ -206,7 +217,7 @@
         val head = (message as? HttpResponse)?.let { ClientEvent.Head(it.status().code(), it.headers()) }
         if (isSkipped) {
             head?.let { onSkippedHead?.invoke(it) }
-            skip(ctx, call, message)
+            skip(ctx, message)
             return
         }
         if (message is HttpResponse && head != null) {
@@ -226,16 +237,30 @@
     /** Ends the call when too many bytes arrive that are no part of its response, since they may never end. */
     private fun skip(
         ctx: ChannelHandlerContext,
-        call: ClientCall,
         message: HttpObject,
     ) {
         skippedBytes += if (message is HttpContent) message.content().readableBytes() else SKIPPED_HEAD_BYTES
-        if (skippedBytes <= MAX_SKIPPED_BYTES) return
+        if (skippedBytes > MAX_SKIPPED_BYTES) fail(ctx, FailureKind.MALFORMED, AnswerFault.SURPLUS)
+    }
+
+    /** Ends the call in progress, if any, and the connection. */
+    private fun fail(
+        ctx: ChannelHandlerContext,
+        kind: FailureKind,
+        fault: AnswerFault?,
+        cause: Throwable? = null,
+    ) {
+        val call = current
         current = null
-        call.fail(FailureKind.MALFORMED)
+        if (call?.fail(kind, fault) == true && fault != null) onFault(fault, cause)
         ctx.close()
     }
 
+    private fun onConnectionLost(ctx: ChannelHandlerContext) {
+        val isHeadCut = ctx.pipeline().get(ResponseDecoder::class.java)?.hasPartialHead == true
+        fail(ctx, FailureKind.CONNECTION_LOST, AnswerFault.HEAD_CUT.takeIf { isHeadCut })
+    }
+
     private fun complete(
         ctx: ChannelHandlerContext,
         call: ClientCall,
@@ -263,19 +288,12 @@
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
-        if (event is ChannelInputShutdownEvent) {
-            val call = current
-            current = null
-            call?.fail(FailureKind.CONNECTION_LOST)
-            ctx.close()
-        }
+        if (event is ChannelInputShutdownEvent) onConnectionLost(ctx)
         ctx.fireUserEventTriggered(event)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        val call = current
-        current = null
-        call?.fail(FailureKind.CONNECTION_LOST)
+        onConnectionLost(ctx)
         ctx.fireChannelInactive()
     }
 
@@ -285,11 +303,8 @@
         cause: Throwable,
     ) {
         // After a reset, too, Netty reports that the input has ended, which would end a response without a length.
-        val call = current
-        current = null
         if (cause !is IOException) EventLog.warn("call failed", "server" to address, "cause" to cause)
-        call?.fail(FailureKind.CONNECTION_LOST)
-        ctx.close()
+        onConnectionLost(ctx)
     }
 
     private companion object {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ClientEvent.kt
@@ -1,6 +1,7 @@
 package oriolespindle.router.http
 
 import io.netty.handler.codec.http.HttpHeaders
+import oriolespindle.core.http.AnswerFault
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
 
@@ -20,11 +21,19 @@
     /** The response is complete. */
     public data object End : ClientEvent
 
-    /** No complete response will arrive. If [sent] is false, no byte of the request left this instance. */
+    /**
+     * No complete response will arrive. If [sent] is false, no byte of the request left this instance.
+     *
+     * @property fault what was wrong with the bytes that arrived, if anything.
+     */
     public data class Failed(
         public val kind: FailureKind,
         public val sent: Boolean,
-    ) : ClientEvent
+        public val fault: AnswerFault? = null,
+    ) : ClientEvent {
+        /** The failure in logs and metrics. */
+        public val reason: String get() = fault?.code ?: kind.name.lowercase()
+    }
 }
 
 /** Why no complete response will arrive. */
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -17,9 +17,11 @@
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import oriolespindle.core.http.AnswerFault
 import oriolespindle.core.relay.ByteQuota
 import oriolespindle.core.relay.GrowingBuffer
 import oriolespindle.core.time.Timestamp
+import oriolespindle.router.logging.EventLog
 import oriolespindle.router.runtime.monotonicNow
 import java.net.ConnectException
 import java.util.concurrent.TimeUnit
@@ -42,10 +44,15 @@
     public val maxBufferedBytes: Int = 24 * 1024 * 1024,
 )
 
-/** Sends HTTP/1.1 requests over pooled connections, one request at a time on each connection. */
+/**
+ * Sends HTTP/1.1 requests over pooled connections, one request at a time on each connection.
+ *
+ * [onFault] is called on an event loop thread with the fault of each answer that ended a call.
+ */
 public class HttpClient(
     private val group: EventLoopGroup,
     private val settings: HttpClientSettings = HttpClientSettings(),
+    private val onFault: (AnswerFault) -> Unit = {},
 ) {
     private val pool = ConnectionPool(settings.maxIdle, settings.maxIdlePerAddress)
 
@@ -217,12 +224,21 @@
                         channel.pipeline().addLast(
                             HttpRequestEncoder(),
                             ResponseDecoder(),
-                            ClientCallHandler(address, pool),
+                            ClientCallHandler(address, pool) { fault, cause -> reportFault(address, fault, cause) },
                         )
                     }
                 },
             ).connect(address.toSocketAddress())
 
+    private fun reportFault(
+        address: Address,
+        fault: AnswerFault,
+        cause: Throwable?,
+    ) {
+        EventLog.warn("answer cannot be used", "server" to address, "fault" to fault.code, "cause" to cause)
+        onFault(fault)
+    }
+
     private fun onConnectCompleted(
         call: ClientCall,
         request: ClientRequest,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -3,15 +3,34 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.PrematureChannelClosureException
+import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import oriolespindle.core.http.AnswerFault
+import oriolespindle.core.http.AnswerHeadCheck
 import oriolespindle.router.logging.EventLog
 
-/** Decodes the responses of one connection and detects bytes that belong to none of them. */
+/**
+ * Decodes the responses of one connection and detects bytes that belong to none of them.
+ *
+ * Emits a [BrokenAnswer] and discards all further bytes if a response, interim ones included, is not valid.
+ */
 internal class ResponseDecoder : HttpResponseDecoder(decoderConfig()) {
     private var isInputEnded = false
+    private val head = AnswerHeadCheck()
+
+    /** The bytes from the reader index on that [head] has accepted. */
+    private var checkedBytes = 0
+    private var isBroken = false
+
+    /** Whether a part of a head has arrived, but not all of it. */
+    val hasPartialHead: Boolean get() = head.isPartial
 
     /** Whether bytes that follow the last decoded response are buffered. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
@@ -45,15 +64,82 @@
         super.userEventTriggered(ctx, event)
     }
 
+    override fun decode(
+        ctx: ChannelHandlerContext,
+        input: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        val fault = if (isBroken) null else checkHead(input)
+        if (fault != null) emitBroken(BrokenAnswer(fault), out)
+        if (isBroken) {
+            input.skipBytes(input.readableBytes())
+            return
+        }
+        val start = input.readerIndex()
+        val decoded = out.size
+        super.decode(ctx, input, out)
+        checkedBytes = (checkedBytes - (input.readerIndex() - start)).coerceAtLeast(0)
+        replaceBroken(out, decoded)
+    }
+
     /** Ends a response without a length only if the server has closed its direction; other closes break it off. */
     override fun decodeLast(
         ctx: ChannelHandlerContext,
         input: ByteBuf,
         out: MutableList<Any>,
     ) {
-        if (isInputEnded) super.decodeLast(ctx, input, out)
+        if (!isInputEnded || isBroken) return
+        val decoded = out.size
+        super.decodeLast(ctx, input, out)
+        replaceBroken(out, decoded)
+    }
+
+    /** Checks the bytes of a head before they are decoded, since the decoder accepts many that are not valid. */
+    private fun checkHead(input: ByteBuf): AnswerFault? {
+        if (head.isComplete) return null
+        val start = input.readerIndex() + checkedBytes
+        val last = input.forEachByte(start, input.writerIndex() - start, head::accept)
+        checkedBytes = (if (last < 0) input.writerIndex() else last + 1) - input.readerIndex()
+        return head.fault
+    }
+
+    /** Replaces the messages after the first [decoded] ones in [out] by a [BrokenAnswer] if one of them failed. */
+    private fun replaceBroken(
+        out: MutableList<Any>,
+        decoded: Int,
+    ) {
+        val added = out.subList(decoded, out.size)
+        val broken = added.firstNotNullOfOrNull { (it as? HttpObject)?.let(::brokenAnswer) }
+        if (broken != null) {
+            added.forEach { ReferenceCountUtil.release(it) }
+            added.clear()
+            emitBroken(broken, out)
+            return
+        }
+        if (added.lastOrNull() is LastHttpContent) head.reset()
     }
 
+    private fun emitBroken(
+        answer: BrokenAnswer,
+        out: MutableList<Any>,
+    ) {
+        isBroken = true
+        out += answer
+    }
+
+    private fun brokenAnswer(message: HttpObject): BrokenAnswer? {
+        val cause = message.decoderResult().cause() ?: return null
+        return BrokenAnswer(if (message is HttpResponse) faultOfHead(cause) else AnswerFault.CHUNK, cause)
+    }
+
+    /** Returns why the decoder has rejected a head that [AnswerHeadCheck] accepts. */
+    private fun faultOfHead(cause: Throwable): AnswerFault =
+        when (cause) {
+            is TooLongFrameException -> AnswerFault.HEAD_TOO_LARGE
+            is PrematureChannelClosureException -> AnswerFault.HEAD_CUT
+            else -> AnswerFault.FRAMING
+        }
+
     private companion object {
         /** Bounds memory; it is not meant to restrict the headers that endpoints add to their responses. */
         const val MAX_HEADER_BYTES = 32 * 1024
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/metrics/Metrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/metrics/Metrics.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import oriolespindle.core.http.AnswerFault
 import oriolespindle.core.outcome.RefusalReason
 import oriolespindle.core.outcome.RetryReason
 import oriolespindle.core.outcome.UnknownReason
@@ -21,6 +22,10 @@
     private val refusals = RefusalReason.entries.associateWith { counter("oriolespindle.refusals", "reason", it.code) }
     private val unknowns = UnknownReason.entries.associateWith { counter("oriolespindle.unknown", "reason", it.code) }
     private val retries = RetryReason.entries.associateWith { counter("oriolespindle.retries", "reason", it.code) }
+    private val answerFaults =
+        AnswerFault.entries.associateWith {
+            counter("oriolespindle.answer.faults", "fault", it.code)
+        }
     private val platformCalls = ConcurrentHashMap<String, Counter>()
     private val ignoredLines = ConcurrentHashMap<String, Counter>()
     private val done = registry.counter("oriolespindle.done")
@@ -38,6 +43,9 @@
 
     fun retried(reason: RetryReason) = retries.getValue(reason).increment()
 
+    /** Counts an answer of an endpoint or the platform that could not be used because of [fault]. */
+    fun answerFault(fault: AnswerFault) = answerFaults.getValue(fault).increment()
+
     fun done() = done.increment()
 
     fun tokensDelivered(count: Int) = tokens.increment(count.toDouble())
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/CallSession.kt
@@ -70,7 +70,7 @@
     private fun onFailure(event: ClientEvent.Failed) {
         val failed = endpoint
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
-        val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
+        val next = { onAttemptFailed(endOf(event), event.reason, failed?.id) }
         if (isBreak(event)) afterBreak(next) else next()
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -41,12 +41,17 @@
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
-    /** The HTTP client that all outgoing calls of this process share. */
-    public val http: HttpClient = HttpClient(group, HttpClientSettings(connectTimeout = settings.times.connectTimeout))
-
     /** The metrics of this process. */
     public val metrics: RelayMetrics = RelayMetrics()
 
+    /** The HTTP client that all outgoing calls of this process share. */
+    public val http: HttpClient =
+        HttpClient(
+            group,
+            HttpClientSettings(connectTimeout = settings.times.connectTimeout),
+            onFault = metrics::onAnswerFault,
+        )
+
     /** Runs timers on the event loop. */
     public val timers: TimerService = TimerService(group.next())
     private val context = RelayContext(settings, http, timers, metrics)
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelayMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import oriolespindle.core.admission.Priority
+import oriolespindle.core.http.AnswerFault
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 import kotlin.time.toJavaDuration
@@ -56,6 +57,9 @@
     /** Counts a retry caused by [reason]. */
     public fun onRetry(reason: String): Unit = count("oriolespindle.relay.retries", "reason", reason)
 
+    /** Counts an answer of an endpoint or the store that could not be used because of [fault]. */
+    public fun onAnswerFault(fault: AnswerFault): Unit = count("oriolespindle.relay.answer.faults", "fault", fault.code)
+
     /** Counts a call of [operation] on the store that ended with [result]. */
     public fun onStoreCall(
         operation: String,
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/StreamSession.kt
@@ -435,7 +435,7 @@
         val failed = first
         if (failed != null && concernsEndpoint(event)) context.directory.onFailure(monotonicNow(), failed.id)
         if (concernsEndpoint(event) || isBreak(event)) probeFirst()
-        val next = { onAttemptFailed(endOf(event), event.kind.name.lowercase(), failed?.id) }
+        val next = { onAttemptFailed(endOf(event), event.reason, failed?.id) }
         if (isBreak(event)) afterBreak(next) else next()
     }
 
