Reject answers with fields that the grammar does not allow

What callers saw: answers in whose head the name of a field held a blank or a tab. `Bad Name: 1` and `Bad : 1` were passed on as `Bad: 1`; ` Content-Length: 4` was added to the value of the field before it, the server's signature in the test; `Content-Length : 4` gave the body its length.

Cause: Netty's decoder ends a name in a response at the first blank and drops what follows up to the colon, joins a line that begins with a blank to the value before it, and takes it for a field at the start of a head. It validates the rest of the name, so other control bytes failed before; that names are not validated at all was ruled out so. It does the same in trailers.

Change: AnswerHeadCheck checks each line of a head: a name of token characters up to the colon, no control byte in a value, no line that begins with a blank, which RFC 9112 (section 5.2) lets a gateway reject. In trailers, which are not passed on, ResponseDecoder checks that a colon follows the name where the decoder splits it. Faults of names, values, folded lines and trailers have reasons of their own.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/http/AnswerFault.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/http/AnswerFault.kt
@@ -13,6 +13,15 @@
     /** The reason phrase has a control byte. */
     REASON_PHRASE("malformed_reason_phrase"),
 
+    /** The name of a field is empty, has no colon after it, or has a byte that names may not have, such as a blank. */
+    FIELD_NAME("malformed_field_name"),
+
+    /** The value of a field has a control byte. */
+    FIELD_VALUE("malformed_field_value"),
+
+    /** A line of the head begins with a blank, so that it continues the line before it. */
+    FOLDED_LINE("folded_line"),
+
     /** The head has too many bytes or fields. */
     HEAD_TOO_LARGE("answer_head_too_large"),
 
@@ -22,9 +31,12 @@
     /** The connection ended inside the head. */
     HEAD_CUT("head_cut"),
 
-    /** The size or the end of a chunk, or a field that follows the last one, cannot be read. */
+    /** The size or the end of a chunk cannot be read. */
     CHUNK("malformed_chunk"),
 
+    /** A field that follows the last chunk cannot be read. */
+    TRAILER("malformed_trailer"),
+
     /** Too many bytes arrived that are no part of the answer, such as interim answers. */
     SURPLUS("surplus_bytes"),
 }
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/http/AnswerHeadCheck.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/http/AnswerHeadCheck.kt
@@ -4,8 +4,8 @@
  * Checks the head of one answer after another, byte by byte, by the grammar of RFC 9112 and RFC 9110.
  *
  * Decoders of HTTP repair much that the grammar forbids, and two of them may read different answers from the same
- * bytes. A relay must not choose one, so it needs to know that a head has only one reading. Only the status line is
- * checked. Lines may end without a carriage return, and empty lines may precede a head.
+ * bytes. A relay must not choose one, so it needs to know that a head has only one reading. Folded lines are valid for
+ * some decoders only and count as faults. Lines may end without a carriage return, and empty lines may precede a head.
  */
 public class AnswerHeadCheck {
     private var part = Part.START
@@ -51,22 +51,28 @@
                 Part.START, Part.VERSION -> isVersion(char)
                 Part.STATUS -> isStatus(char)
                 Part.STATUS_END -> char == SPACE
-                Part.REASON_PHRASE -> isText(char)
-                Part.FIELD_START, Part.FIELD -> true
+                Part.REASON_PHRASE, Part.FIELD_VALUE -> isText(char)
+                Part.FIELD_START -> isNameChar(char)
+                Part.FIELD_NAME -> char == COLON || isNameChar(char)
                 Part.END -> false
             }
-        if (isValid) advance() else fault = part.fault
+        when {
+            !isValid && part == Part.FIELD_START && isBlank(char) -> fault = AnswerFault.FOLDED_LINE
+            !isValid -> fault = part.fault
+            else -> advance(char)
+        }
     }
 
-    private fun advance() {
+    private fun advance(char: Int) {
         column++
         when (part) {
             Part.START -> part = Part.VERSION
             Part.VERSION -> if (column == VERSION.length) enter(Part.STATUS)
             Part.STATUS -> if (column == STATUS_DIGITS) enter(Part.STATUS_END)
             Part.STATUS_END -> enter(Part.REASON_PHRASE)
-            Part.FIELD_START -> enter(Part.FIELD)
-            Part.REASON_PHRASE, Part.FIELD, Part.END -> Unit
+            Part.FIELD_START -> enter(Part.FIELD_NAME)
+            Part.FIELD_NAME -> if (char == COLON) enter(Part.FIELD_VALUE)
+            Part.REASON_PHRASE, Part.FIELD_VALUE, Part.END -> Unit
         }
     }
 
@@ -98,8 +104,9 @@
         STATUS(AnswerFault.STATUS),
         STATUS_END(AnswerFault.STATUS, mayEndLine = true),
         REASON_PHRASE(AnswerFault.REASON_PHRASE, mayEndLine = true),
-        FIELD_START(AnswerFault.FRAMING, mayEndLine = true),
-        FIELD(AnswerFault.FRAMING, mayEndLine = true),
+        FIELD_START(AnswerFault.FIELD_NAME, mayEndLine = true),
+        FIELD_NAME(AnswerFault.FIELD_NAME),
+        FIELD_VALUE(AnswerFault.FIELD_VALUE, mayEndLine = true),
         END(AnswerFault.SURPLUS),
     }
 
@@ -110,6 +117,7 @@
         const val CARRIAGE_RETURN = 0x0d
         const val SPACE = 0x20
         const val DELETE = 0x7f
+        const val COLON = 0x3a
 
         /** What precedes the status; the minor version may be any digit. */
         const val VERSION = "HTTP/1.x "
@@ -117,6 +125,17 @@
         const val STATUS_DIGITS = 3
         val FIRST_STATUS_DIGITS = '1'.code..'5'.code
 
+        /** Beside letters and digits. */
+        const val NAME_SYMBOLS = "!#$%&'*+-.^_`|~"
+        val NAME_CHARS =
+            BooleanArray(BYTE_MASK + 1).also { isName ->
+                (('0'..'9') + ('A'..'Z') + ('a'..'z') + NAME_SYMBOLS.toList()).forEach { isName[it.code] = true }
+            }
+
+        fun isNameChar(char: Int): Boolean = NAME_CHARS[char]
+
+        fun isBlank(char: Int): Boolean = char == SPACE || char == TAB
+
         fun isText(char: Int): Boolean = char == TAB || (char >= SPACE && char != DELETE)
 
         fun isDigit(char: Int): Boolean = char in '0'.code..'9'.code
--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/http/AnswerHeadCheckTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/http/AnswerHeadCheckTest.kt
@@ -88,7 +88,7 @@
         val GRAMMAR =
             Regex(
                 """(\r?\n)*HTTP/1\.\d [1-5]\d\d( [\t\x20-\x7e\x80-\xff]*)?\r?\n""" +
-                    """([^\r\n]+\r?\n)*\r?\n""",
+                    """([!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r?\n)*\r?\n""",
             )
     }
 }
--- a/oriolespindle-ctl/src/test/kotlin/oriolespindle/ctl/BrokenHeadOfInstanceTest.kt
+++ b/oriolespindle-ctl/src/test/kotlin/oriolespindle/ctl/BrokenHeadOfInstanceTest.kt
@@ -54,6 +54,16 @@
         /** Without a control byte in the reason phrase, which the JDK's client ignores. */
         val STATUS_LINES =
             listOf("HTTP/1.1 000 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 00200 OK", "HTTP/2.0 200 OK")
-        val HEADS = STATUS_LINES.map { "$it\r\n" }
+        val FIELDS =
+            listOf(
+                "Bad Name: 1",
+                "Bad : 1",
+                "Bad\t: 1",
+                "Bad\u0001: 1",
+                " Bad: 1",
+                "Bad: a\u0000b",
+                "Content-Length : 2",
+            )
+        val HEADS = STATUS_LINES.map { "$it\r\n" } + FIELDS.map { "HTTP/1.1 200 OK\r\n$it\r\n" }
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -6,11 +6,14 @@
 import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpHeadersFactory
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
 import oriolespindle.core.http.AnswerFault
 import oriolespindle.core.http.AnswerHeadCheck
@@ -21,7 +24,11 @@
  *
  * Emits a [BrokenAnswer] and discards all further bytes if a response, interim ones included, is not valid.
  */
-internal class ResponseDecoder : HttpResponseDecoder(decoderConfig()) {
+internal class ResponseDecoder private constructor(
+    private val trailers: TrailersFactory,
+) : HttpResponseDecoder(decoderConfig(trailers)) {
+    constructor() : this(TrailersFactory())
+
     private var isInputEnded = false
     private val head = AnswerHeadCheck()
 
@@ -116,7 +123,10 @@
             emitBroken(broken, out)
             return
         }
-        if (added.lastOrNull() is LastHttpContent) head.reset()
+        if (added.lastOrNull() is LastHttpContent) {
+            head.reset()
+            trailers.hasBegun = false
+        }
     }
 
     private fun emitBroken(
@@ -129,7 +139,13 @@
 
     private fun brokenAnswer(message: HttpObject): BrokenAnswer? {
         val cause = message.decoderResult().cause() ?: return null
-        return BrokenAnswer(if (message is HttpResponse) faultOfHead(cause) else AnswerFault.CHUNK, cause)
+        val fault =
+            when {
+                message is HttpResponse -> faultOfHead(cause)
+                trailers.hasBegun -> AnswerFault.TRAILER
+                else -> AnswerFault.CHUNK
+            }
+        return BrokenAnswer(fault, cause)
     }
 
     /** Returns why the decoder has rejected a head that [AnswerHeadCheck] accepts. */
@@ -140,14 +156,35 @@
             else -> AnswerFault.FRAMING
         }
 
+    /** Called with each name in a head or in trailers, which the decoder ends at a blank as well as at a colon. */
+    override fun splitHeaderName(
+        line: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        require(line.getOrNull(start + length) == COLON) { "no colon after the name of a field" }
+        return super.splitHeaderName(line, start, length)
+    }
+
+    /** Creates the fields that follow the last chunk and tells that they have begun. */
+    private class TrailersFactory : HttpHeadersFactory {
+        private val fields = BoundedHeadersFactory()
+        var hasBegun = false
+
+        override fun newHeaders(): HttpHeaders = fields.newHeaders().also { hasBegun = true }
+
+        override fun newEmptyHeaders(): HttpHeaders = fields.newEmptyHeaders().also { hasBegun = true }
+    }
+
     private companion object {
         /** Bounds memory; it is not meant to restrict the headers that endpoints add to their responses. */
         const val MAX_HEADER_BYTES = 32 * 1024
+        const val COLON = ':'.code.toByte()
 
-        fun decoderConfig(): HttpDecoderConfig =
+        fun decoderConfig(trailers: HttpHeadersFactory): HttpDecoderConfig =
             HttpDecoderConfig()
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setHeadersFactory(BoundedHeadersFactory())
-                .setTrailersFactory(BoundedHeadersFactory())
+                .setTrailersFactory(trailers)
     }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/BrokenHeadOfClientTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/BrokenHeadOfClientTest.kt
@@ -87,10 +87,11 @@
     fun `tells faults of the body and of its end apart from those of the head`() {
         val head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         val answers =
-            listOf("zz\r\n", "-4\r\nbody\r\n", "4\r\nbodyzz", "4\r\nbody\r\nzz\r\n").map {
-                AnswerFault.CHUNK to
-                    head + it
-            } +
+            BrokenHead.names.map { AnswerFault.TRAILER to "${head}0\r\n${it.trailer()}" } +
+                listOf("zz\r\n", "-4\r\nbody\r\n", "4\r\nbodyzz", "4\r\nbody\r\nzz\r\n").map {
+                    AnswerFault.CHUNK to
+                        head + it
+                } +
                 head.indices.drop(1).map { AnswerFault.HEAD_CUT to head.take(it) } +
                 (AnswerFault.SURPLUS to "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(5_000))
         val unexpected =
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/ResponseDecoderTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/ResponseDecoderTest.kt
@@ -65,8 +65,11 @@
     @Test
     fun `decodes nothing from a broken head on, however it is split`() {
         val sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nName: a\r\n\r\nbody"
-        val broken = "HTTP/1.1 000 OK\r\n\r\n"
-        expectThat(readings(sound + broken + sound)).isEqualTo(setOf(listOf("200 a body", "[STATUS]")))
+        val fields = "HTTP/1.1 200 OK\r\nBad Name: 1\r\nContent-Length: 0\r\n\r\n"
+        for (broken in listOf("HTTP/1.1 000 OK\r\n\r\n", fields)) {
+            val fault = if (broken == fields) "FIELD_NAME" else "STATUS"
+            expectThat(readings(sound + broken + sound)).isEqualTo(setOf(listOf("200 a body", "[$fault]")))
+        }
     }
 
     private companion object {
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenHead.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenHead.kt
@@ -9,13 +9,17 @@
     private val statusLine: String = "HTTP/1.1 200 OK",
     /** Whole lines, sent before and after the sound fields. */
     private val lines: String = "",
+    private val framing: String? = null,
 ) {
     /** Returns an answer that is sound but for its head; [fields] are whole lines, [framing] is about [body]. */
     fun answer(
         fields: String,
         framing: String = "",
         body: String = "",
-    ): String = "$statusLine\r\n$lines$fields$lines$framing\r\n$body"
+    ): String = "$statusLine\r\n$lines$fields$lines${this.framing ?: framing}\r\n$body"
+
+    /** Returns the lines of the broken field as a trailer. */
+    fun trailer(): String = lines + "\r\n"
 
     override fun toString(): String = name
 
@@ -28,6 +32,16 @@
             fault: AnswerFault,
         ) = BrokenHead("status line ${quoted(line)}", fault, statusLine = line)
 
+        private fun line(
+            line: String,
+            fault: AnswerFault,
+        ) = BrokenHead("line ${quoted(line)}", fault, lines = "$line\r\n")
+
+        private fun framing(
+            lines: String,
+            fault: AnswerFault = AnswerFault.FRAMING,
+        ) = BrokenHead("framing ${quoted(lines)}", fault, framing = "$lines\r\n")
+
         private fun quoted(text: String): String =
             text.map { if (it in ' '..'~') it.toString() else "\\x%02x".format(it.code) }.joinToString("", "'", "'")
 
@@ -55,6 +69,39 @@
         private val reasons =
             (CONTROL_BYTES - '\t').map { statusLine("HTTP/1.1 200 O${it}K", AnswerFault.REASON_PHRASE) }
 
+        /** Lines whose name holds a blank, a control byte or another byte that names may not have. */
+        val names =
+            listOf("Bad Name", "Bad ", "", "Bad(Name", "B\u00e4d")
+                .plus(CONTROL_BYTES.flatMap { listOf("${it}Bad", "Bad${it}Name", "Bad$it") } - "\tBad")
+                .map { line("$it: 1", AnswerFault.FIELD_NAME) } + line("Bad", AnswerFault.FIELD_NAME)
+
+        private val folds =
+            listOf(" Bad: 1", "\tBad: 1", " ", "Bad: 1\r\n folded", "Bad: 1\r\n\tfolded")
+                .map { line(it, AnswerFault.FOLDED_LINE) }
+
+        private val values =
+            (CONTROL_BYTES - '\t').flatMap { byte ->
+                listOf("${byte}a", "a${byte}b").map { line("Bad: $it", AnswerFault.FIELD_VALUE) }
+            }
+
+        private val framings =
+            listOf(
+                "Content-Length : 4",
+                "Content Length: 4",
+                "Content-Length\t: 4",
+                "Transfer-Encoding : chunked",
+            ).map { framing(it, AnswerFault.FIELD_NAME) } +
+                listOf(" Content-Length: 4", "Content-Length:\r\n 4", "Transfer-Encoding:\r\n chunked")
+                    .map { framing(it, AnswerFault.FOLDED_LINE) } +
+                listOf(
+                    "Content-Length: 4\r\nContent-Length: 3",
+                    "Content-Length: +4",
+                    "Content-Length: -4",
+                    "Content-Length: 4x",
+                    "Content-Length: ",
+                    "Content-Length: 99999999999999999999",
+                ).map { framing(it) }
+
         private val oversized =
             listOf(
                 BrokenHead("a long field", AnswerFault.HEAD_TOO_LARGE, lines = "Long: ${"x".repeat(40_000)}\r\n"),
@@ -66,6 +113,6 @@
                 ),
             )
 
-        val all = statuses + versions + reasons + oversized
+        val all = statuses + versions + reasons + names + folds + values + framings + oversized
     }
 }
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenHeadTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenHeadTest.kt
@@ -84,6 +84,16 @@
         )
     }
 
+    @Test
+    fun `accepts no answer with a broken trailer`() {
+        val trailers =
+            BrokenHead.names.map { head ->
+                val body = "${Scripts.chunk("body")}0\r\n${head.trailer()}"
+                NamedAnswer("trailer $head", "HTTP/1.1 200 OK\r\n$FIELDS$CHUNKED\r\n$body")
+            }
+        expectSingleFailure(RouteKind.NON_IDEMPOTENT, trailers)
+    }
+
     @Test
     fun `metrics tell the faults of answers and of the attempts that are repeated for them`() {
         val broken = ScriptedEndpoint("e1") { _, _ -> send(NamedAnswer("status", "HTTP/1.1 000 OK\r\n$FIELDS\r\n")) }
