Reject answers in a transfer coding other than chunked

What callers saw: an answer with `Transfer-Encoding: gzip`, with `gzip, chunked` or with an empty coding was passed on with the coded body and without the field, so the body was not the server's.

Cause: Netty's decoder takes a body in a coding that it does not know for one that ends with its connection, and the relay removes Transfer-Encoding, which concerns one connection. In interim answers the decoder does not look at the field at all. Found while looking for the cause of the status 000 elsewhere; no user has reported it.

Change: a head whose Transfer-Encoding is not exactly one `chunked` in version 1.1 is rejected as malformed_framing. That is checked where the decoder decides about the body, before it removes the field.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/ResponseDecoder.kt
@@ -6,12 +6,15 @@
 import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpHeadersFactory
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
@@ -45,8 +48,6 @@
     /** Whether the response has no body although its headers may state a length, as the response to HEAD. */
     var isBodiless: Boolean = false
 
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodiless || super.isContentAlwaysEmpty(message)
-
     /** Whether a response is awaited; bytes that arrive at other times belong to none and close the connection. */
     var isAwaited: Boolean = false
 
@@ -156,6 +157,20 @@
             else -> AnswerFault.FRAMING
         }
 
+    /** Called with each complete head; an exception makes the decoder reject it. */
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
+        require(hasKnownCoding(message)) { "unknown transfer coding" }
+        return isBodiless || super.isContentAlwaysEmpty(message)
+    }
+
+    /** Whether the body of [message] is sent as it is or in chunks; the decoder passes other codings on undecoded. */
+    private fun hasKnownCoding(message: HttpMessage): Boolean {
+        val codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        if (codings.isEmpty()) return true
+        val isChunked = HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.singleOrNull()?.trim())
+        return isChunked && message.protocolVersion() == HttpVersion.HTTP_1_1
+    }
+
     /** Called with each name in a head or in trailers, which the decoder ends at a blank as well as at a colon. */
     override fun splitHeaderName(
         line: ByteArray,
--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenHead.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/relay/BrokenHead.kt
@@ -100,6 +100,11 @@
                     "Content-Length: 4x",
                     "Content-Length: ",
                     "Content-Length: 99999999999999999999",
+                    "Transfer-Encoding: gzip",
+                    "Transfer-Encoding: gzip, chunked",
+                    "Transfer-Encoding: chunked, gzip",
+                    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                    "Transfer-Encoding: ",
                 ).map { framing(it) }
 
         private val oversized =
@@ -111,6 +116,12 @@
                     AnswerFault.HEAD_TOO_LARGE,
                     statusLine = "HTTP/1.1 200 ${"x".repeat(40_000)}",
                 ),
+                BrokenHead(
+                    "chunks of an old version",
+                    AnswerFault.FRAMING,
+                    statusLine = "HTTP/1.0 200 OK",
+                    framing = "Transfer-Encoding: chunked\r\n",
+                ),
             )
 
         val all = statuses + versions + reasons + names + folds + values + framings + oversized
