Wait for the faults that a test compares

The test is wrong: HttpClient reports a fault after the listener of its call has got the failure, and the test read the reported faults as soon as the listener had the last one. It now takes each fault with a time limit, compares all of them in order as before, and expects no more of them. The product is unchanged.

--- a/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/BrokenHeadOfClientTest.kt
+++ b/oriolespindle-router/src/test/kotlin/oriolespindle/router/http/BrokenHeadOfClientTest.kt
@@ -88,16 +88,17 @@
         val head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         val answers =
             BrokenHead.names.map { AnswerFault.TRAILER to "${head}0\r\n${it.trailer()}" } +
-                listOf("zz\r\n", "-4\r\nbody\r\n", "4\r\nbodyzz", "4\r\nbody\r\nzz\r\n").map {
-                    AnswerFault.CHUNK to
-                        head + it
-                } +
+                listOf("zz\r\n", "-4\r\nbody\r\n", "4\r\nbodyzz", "4\r\nbody\r\nzz\r\n")
+                    .map { AnswerFault.CHUNK to head + it } +
                 head.indices.drop(1).map { AnswerFault.HEAD_CUT to head.take(it) } +
                 (AnswerFault.SURPLUS to "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(5_000))
         val unexpected =
             unexpected<AnswerFault, ClientEvent.Failed>(answers, { fault, it -> it.fault == fault }, ::failures)
         expectThat(unexpected).isEmpty()
-        expectThat(faults.toList()).isEqualTo(answers.map { it.first })
+        // A fault is reported after the end of its call.
+        val reported = answers.map { faults.poll(RESULT_TIMEOUT_SECONDS, TimeUnit.SECONDS) }
+        expectThat(reported).isEqualTo(answers.map { it.first })
+        expectThat(faults.toList()).isEmpty()
     }
 
     @Test
