--- a/review/stand-ins-3/Case11.java
+++ b/review/stand-ins-3/CaseDrain.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A server begins to drain after the store has come back from a copy; no request may reach it after drain_ms. */
-public final class Case11 implements Cases.Case {
+public final class CaseDrain implements Cases.Case {
     private static final long DRAIN_MILLIS = 2_000;
     private static final long STABLE_MILLIS = 3_000;
 
--- a/review/stand-ins-3/Case12.java
+++ b/review/stand-ins-3/CaseRest.java
@@ -1,46 +1,16 @@
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * A server that has asked for rest (503 with Retry-After) is cut off from the store for a while; it must get no more
  * than two requests from a machine until the rest is over.
  */
-public final class Case12 implements Cases.Case {
+public final class CaseRest implements Cases.Case {
     private static final long REST_MILLIS = 20_000;
     private static final long SLACK_MILLIS = 500;
     private static final long CUT_MILLIS = 5_000;
 
-    /** A server that turns requests away for a time; it answers each of them 503 with the rest of that time. */
-    private static final class RestingServer extends PlainServer {
-        volatile long restsUntil;
-
-        RestingServer(Store store, String id, int slots, Observer observer) throws Exception {
-            super(store, "127.0.0.1", id, "desk", "a", slots, 40, 0, observer);
-        }
-
-        private long left() {
-            return restsUntil - Record.now();
-        }
-
-        @Override
-        boolean mayRun(Http.Message request) {
-            return left() <= 0;
-        }
-
-        @Override
-        void refuse(Http.Message request, Http.Connection connection, Map<String, String> headers) throws Exception {
-            long left = left();
-            if (left > 0) {
-                // A server under pressure takes a moment to turn a request away, too.
-                Thread.sleep(40);
-                headers.put("Retry-After", "" + Math.max(1, (left + 999) / 1000));
-            }
-            super.refuse(request, connection, headers);
-        }
-    }
-
     private record Arrival(String server, long at) {}
 
     @Override
@@ -92,7 +62,7 @@
         int late = 0;
         for (Arrival arrival : arrivals) {
             if (!arrival.server.equals("i-001") || arrival.at < from) continue;
-            firstRefusal = Math.min(firstRefusal, arrival.at + 40);
+            firstRefusal = Math.min(firstRefusal, arrival.at + RestingServer.REFUSAL_MILLIS);
             if (arrival.at > firstRefusal + SLACK_MILLIS && arrival.at < resting.restsUntil) {
                 late++;
                 record.line("late: i-001 got a request at %d", arrival.at);
--- a/review/stand-ins-3/Cases.java
+++ b/review/stand-ins-3/Cases.java
@@ -92,10 +92,16 @@
     /** Sends one request of a caller over a new connection; returns the status, or 0 without a complete answer. */
     static int request(
         Record record, Instances.Instance instance, String method, String path, int deadlineMillis, String attempt) {
+        return request(record, instance, method, path, deadlineMillis, attempt, KEY);
+    }
+
+    static int request(
+        Record record, Instances.Instance instance, String method, String path, int deadlineMillis, String attempt,
+        String key) {
         byte[] body = method.equals("GET") ? new byte[0] : "{}".getBytes(StandardCharsets.UTF_8);
         String head =
             method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Oriolespindle-Attempt-Id: " + attempt
-                + "\r\nX-Oriolespindle-Deadline-Ms: " + deadlineMillis + "\r\nAuthorization: Bearer " + KEY
+                + "\r\nX-Oriolespindle-Deadline-Ms: " + deadlineMillis + "\r\nAuthorization: Bearer " + key
                 + (body.length > 0 ? "\r\nContent-Length: " + body.length : "") + "\r\n\r\n";
         long sentAt = Record.now();
         int status = 0;
--- a/review/stand-ins-3/Store.java
+++ b/review/stand-ins-3/Store.java
@@ -26,6 +26,10 @@
     private List<Item> changes = new ArrayList<>();
     private long revision = 1;
     private long era = 1;
+    /** Since when the store answers nothing; null unless it is silent. */
+    private boolean isSilent;
+    /** When the store last came back after a silence; connections from before are dead. */
+    private long backAt = Long.MIN_VALUE;
     /** The number of writes by the system, by kind. */
     final Map<String, Integer> systemWrites = new TreeMap<>();
 
@@ -78,15 +82,46 @@
         listener.close();
     }
 
+    /** Answers nothing from now on, as a host that is gone; its connections stay open. */
+    synchronized void fallSilent() {
+        isSilent = true;
+    }
+
+    /** Comes back after [fallSilent] with the state of [copy]; what comes on a connection from before is reset. */
+    synchronized void speakAgain(Object copy) {
+        restore(copy);
+        backAt = System.nanoTime();
+        isSilent = false;
+        notifyAll();
+    }
+
+    private synchronized void restore(Object copy) {
+        Copy old = (Copy) copy;
+        kinds = new HashMap<>();
+        old.kinds.forEach((kind, items) -> kinds.put(kind, new TreeMap<>(items)));
+        changes = new ArrayList<>(old.changes);
+        revision = old.revision;
+        era++;
+    }
+
+    /** Holds a call while the store is silent, and breaks off one on a connection from before its return. */
+    private synchronized void checkSilence(Http.Connection connection, long startedIn) throws Exception {
+        if (!isSilent && connection.openedAt >= backAt && era == startedIn) return;
+        while (isSilent) wait();
+        // A call from before the return is never answered; the next one on its connection is reset.
+        if (startedIn == era) {
+            connection.reset();
+            throw new IOException("the connection is from before the return");
+        }
+        throw new Unanswered();
+    }
+
+    /** Ends a call without an answer. */
+    private static final class Unanswered extends Exception {}
+
     /** Comes back with the state of [copy]. */
     void comeBack(Object copy) throws IOException {
-        synchronized (this) {
-            Copy old = (Copy) copy;
-            kinds = new HashMap<>(old.kinds);
-            changes = new ArrayList<>(old.changes);
-            revision = old.revision;
-            era++;
-        }
+        restore(copy);
         listener.open();
     }
 
@@ -111,7 +146,21 @@
     }
 
     private void answer(Http.Message request, Http.Connection connection) throws Exception {
-        Thread.sleep(ANSWER_MILLIS);
+        long startedIn;
+        synchronized (this) {
+            startedIn = era;
+        }
+        try {
+            checkSilence(connection, startedIn);
+            Thread.sleep(ANSWER_MILLIS);
+            checkSilence(connection, startedIn);
+            answerCall(request, connection, startedIn);
+        } catch (Unanswered ignored) {
+            // The caller gets no answer.
+        }
+    }
+
+    private void answerCall(Http.Message request, Http.Connection connection, long startedIn) throws Exception {
         String[] target = request.target().split("\\?", 2);
         String[] path = target[0].split("/");
         Map<String, String> query = new LinkedHashMap<>();
@@ -123,7 +172,7 @@
         switch (request.method()) {
             case "GET" -> {
                 if (name != null) get(connection, kind, name);
-                else if (query.containsKey("watch")) watch(connection, kind, query);
+                else if (query.containsKey("watch")) watch(connection, kind, query, startedIn);
                 else list(connection, kind, query.get("after"));
             }
             case "POST", "PUT" -> write(connection, kind, name, Json.object(Json.parse(request.text())));
@@ -155,13 +204,12 @@
         reply(connection, 200, page);
     }
 
-    private void watch(Http.Connection connection, String kind, Map<String, String> query) throws Exception {
+    private void watch(Http.Connection connection, String kind, Map<String, String> query, long startedIn)
+        throws Exception {
         long from = Long.parseLong(query.get("watch"));
         long end = System.nanoTime() + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000;
-        long startedIn;
         Object page;
         synchronized (this) {
-            startedIn = era;
             if (from > revision) {
                 page = null;
             } else {
@@ -172,7 +220,7 @@
                 }
                 page = Json.of("events", events, "store_revision", revision);
             }
-            if (era != startedIn) throw new IOException("the store went away");
+            checkSilence(connection, startedIn);
         }
         reply(connection, page == null ? 410 : 200, page);
     }
