--- a/review/stand-ins-3/CaseConfig.java
+++ b/review/stand-ins-3/CaseConfig.java
@@ -10,6 +10,9 @@
  * and adds a route; all instances must apply it.
  */
 public final class CaseConfig implements Cases.Case {
+    private static final int SERVERS = 12;
+    /** A quarter of the servers, the largest share of scale_out in the site file. */
+    private static final int ADDED = 3;
     private static final long COPY_AGE_MILLIS = 4_000;
     private static final long AWAY_MILLIS = 500;
     private static final long CONFIG_APPLY_MILLIS = 2_000;
@@ -39,7 +42,7 @@
             record.line("server: %s got %s, %s", at.id, attempt, hasRun ? "runs it" : "refuses it");
         };
         store.put("config", "main", configuration(7, false));
-        for (int i = 1; i <= 3; i++) new PlainServer(store, "127.0.0.1", "i-00" + i, "desk", "a", 6, 20, 0, observer).start();
+        for (int i = 1; i <= SERVERS; i++) new PlainServer(store, "127.0.0.1", "i-00" + i, "desk", "a", 6, 20, 0, observer).start();
         Instances instances = new Instances(setup.root, setup.logs, store.address(), Instances.bounds());
         List<Instances.Instance> all = new ArrayList<>();
         for (String zone : List.of("a", "b", "a")) all.add(instances.start(zone));
@@ -66,7 +69,7 @@
         long ackedAt = Record.now();
         record.line("store: version 8 is acknowledged, revision %d", revision);
         // Servers are added; the store goes on as usual.
-        for (int i = 4; i <= 6; i++) {
+        for (int i = SERVERS + 1; i <= SERVERS + ADDED; i++) {
             new PlainServer(store, "127.0.0.1", "i-00" + i, "desk", "a", 6, 20, 5_000, observer).start();
             Thread.sleep(50);
         }
