--- a/review/stand-ins-3/CaseCutExtra.java
+++ b/review/stand-ins-3/CaseCutExtra.java
@@ -25,6 +25,8 @@
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger again = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger extrasSent = new AtomicInteger();
+    private final AtomicInteger shed = new AtomicInteger();
     private volatile boolean inTrouble;
     private Record record;
 
@@ -48,6 +50,7 @@
                 record.line("server: %s has run %s, which %s has run before: TWICE", id, attempt, before);
             }
             if (spoiled.remove(connection) != null) {
+                extrasSent.incrementAndGet();
                 record.line("server: %s sends a cut extra answer, then its 200 to %s", id, attempt);
                 connection.out.write(CUT_EXTRA.getBytes(StandardCharsets.ISO_8859_1));
                 connection.out.flush();
@@ -56,6 +59,12 @@
             if (inTrouble && isFaulty && mayBeSpoiled()) spoiled.put(connection, true);
         }
 
+        @Override
+        void refuse(Http.Message request, Http.Connection connection, Map<String, String> headers) throws Exception {
+            shed.incrementAndGet();
+            super.refuse(request, connection, headers);
+        }
+
         /** Counts an answer; returns whether it is one of the [SPOILED_IN_HUNDRED]. */
         private boolean mayBeSpoiled() {
             synchronized (answers) {
@@ -95,6 +104,7 @@
         record.line("servers: no more extra answers; %d after %d answers of the servers in trouble in these %d ms", extras.get(), answers.get(), TROUBLE_MILLIS);
         Thread.sleep(4_000);
         record.writeCounts();
+        record.line("cut extra answers sent: %d; requests that servers refused: %d", extrasSent.get(), shed.get());
         record.line("requests sent: %d; run: %d; run twice: %d; answered 503 or 429 though they had run: %d", sent.get(), runs.size(), again.get(), refused.get());
         instances.close();
         return again.get() == 0;
