--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpClient.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
@@ -106,7 +107,7 @@
         val body = newAnswerBuffer()
         val startedAt = monotonicNow()
         var receivedAt: Timestamp? = null
-        var status = 0
+        var head = ClientEvent.Head(0, EmptyHttpHeaders.INSTANCE)
         var isOversized = false
         var call: ClientCall? = null
         call =
@@ -114,7 +115,7 @@
                 receivedAt = monotonicNow()
                 when (event) {
                     is ClientEvent.Head -> {
-                        status = event.status
+                        head = event
                     }
 
                     is ClientEvent.Data -> {
@@ -126,7 +127,8 @@
                     is ClientEvent.End -> {
                         val bytes = body.toByteArray()
                         body.clear()
-                        result(if (isOversized) HttpOutcome.TooLarge else HttpOutcome.Response(status, bytes))
+                        val response = HttpOutcome.Response(head.status, bytes, head.headers)
+                        result(if (isOversized) HttpOutcome.TooLarge else response)
                     }
 
                     is ClientEvent.Failed -> {
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpOutcome.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/http/HttpOutcome.kt
@@ -1,11 +1,15 @@
 package oriolespindle.router.http
 
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+
 /** The result of [HttpClient.call]. */
 public sealed interface HttpOutcome {
     /** A complete response. */
     public class Response(
         public val status: Int,
         public val body: ByteArray,
+        public val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE,
     ) : HttpOutcome {
         public val text: String get() = body.decodeToString()
     }
