Registrations of a restored store neither vanish nor replace what is known

An endpoint that began to leave after such a return went on to get requests.

Cause: the directory orders registrations by revision. What an endpoint writes after the return has a lower number than what it wrote in the lost seconds, and was taken for a delayed write ("older registration ignored"); the entry that the first list lacked lapsed, and nothing renewed it.

Ruled out: that the endpoints came too late. Their registrations arrived within 1.2 s of the return and were logged as ignored.

The first list of a restored store is merged by rules of its own: an endpoint that it lacks is kept for the 2.2 s in which endpoints write again, as after an outage; a process that is known is not replaced by another one of the same id, which is used only if the known one is not registered again in that time; one that was not known is not used if it shares its address with one that was; and a process that was leaving when its registration was removed still is when the copy brings it back (remembered for 60 s).

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -5,35 +5,6 @@
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.time.Timestamp
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-
-/** The settings of [EndpointDirectory]. */
-public data class DirectorySettings(
-    /**
-     * How long registrations that lapsed in a store outage stay valid after its end.
-     *
-     * Endpoints renew them within two seconds of the store's return; see docs/platform.md.
-     */
-    public val renewalTimeout: Duration = 2_200.milliseconds,
-    /**
-     * How long an endpoint whose removal may be a lapse stays in use after the store last confirmed its registration.
-     *
-     * Less than the time after which an endpoint that leaves must receive no more requests.
-     */
-    public val removalTimeout: Duration = 1_800.milliseconds,
-    /** The first backoff after a failure or refusal; it doubles with each further one. */
-    public val initialBackoff: Duration = 100.milliseconds,
-    /** The longest backoff after failures; short enough to find a restarted endpoint soon after it listens again. */
-    public val maxFailureBackoff: Duration = 2_000.milliseconds,
-    /** The longest backoff after refusals; a full endpoint has capacity again as soon as one of its requests ends. */
-    public val maxRefusalBackoff: Duration = 1_000.milliseconds,
-    /** The backoff after another endpoint reports one as lost; it is gone for good or restarts as a new process. */
-    public val lostEndpointBackoff: Duration = 3_000.milliseconds,
-    /** The backoff after an answer that went on without progress; each further one costs a stream another attempt. */
-    public val endlessAnswerBackoff: Duration = 3_000.milliseconds,
-    /** The longest pause that an endpoint can ask for; a wrong number must not keep requests from it for long. */
-    public val maxRequestedPause: Duration = 60_000.milliseconds,
-)
 
 /**
  * Tracks the endpoints that may receive requests by their registrations and by the results of this instance's requests.
@@ -43,6 +14,9 @@
  * [DirectorySettings.renewalTimeout] after the store's return. If the store has confirmed the registration since its
  * return, the endpoint may as well have left, so it stays in use for [DirectorySettings.removalTimeout] at most.
  *
+ * A store that was restored from an older copy lacks registrations, which are kept in the same way, and has old ones
+ * again: they do not replace what is known, and are used only beside it. See [onStoreRestored].
+ *
  * The revisions of the store order registrations. The start of a process only tells it apart from others, since clocks
  * of endpoints differ and may be set back. Of several processes at one address only the one that registered last can
  * answer, so the others are not used even if they are still registered.
@@ -57,10 +31,13 @@
 ) {
     private inner class Entry(
         var endpoint: RelayEndpoint,
+        /** The first known revision of this process's registration; null if a restored store had it already. */
+        val registeredAt: Revision? = endpoint.revision,
     ) {
-        /** The first known revision of this process's registration. */
-        val registeredAt: Revision = endpoint.revision
         var lapsedUntil: Timestamp? = null
+
+        /** The process that a restored store has under this id; it is used if this one is not registered again. */
+        var restored: RelayEndpoint? = null
         val failureBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxFailureBackoff)
         val refusalBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxRefusalBackoff)
         var refusedAt: Timestamp? = null
@@ -71,6 +48,8 @@
         /** Whether nothing listens at the endpoint's address any more. */
         var hasEnded = false
 
+        fun isExpired(now: Timestamp): Boolean = lapsedUntil?.let { now >= it } ?: false
+
         fun isPaused(now: Timestamp): Boolean = pausedUntil?.let { now < it } ?: false
 
         fun isBackingOff(now: Timestamp): Boolean = failureBackoff.isActive(now) || refusalBackoff.isActive(now)
@@ -94,6 +73,10 @@
     /** When the store last confirmed all registrations; null until it has done so since its return. */
     private var confirmedAt: Timestamp? = null
 
+    /** Whether the next list is the first one of a restored store. */
+    private var isListRestored = false
+    private val leaving = LeavingProcesses(settings.leaveRetention)
+
     /** Whether [replaceAll] has been called at least once. */
     public var isInitialized: Boolean = false
         private set
@@ -107,7 +90,8 @@
         endpoints: List<RelayEndpoint>,
     ): Map<EndpointId, RegistrationChange> {
         isInitialized = true
-        val changes = endpoints.associateTo(HashMap()) { it.id to put(it) }
+        val changes = endpoints.associateTo(HashMap()) { it.id to if (isListRestored) restore(now, it) else put(it) }
+        isListRestored = false
         entries.keys.filter { it !in changes }.forEach { changes[it] = remove(now, it) }
         return changes
     }
@@ -130,9 +114,38 @@
         // A process never cancels its leave, so a registration without the flag is older.
         known.endpoint = endpoint.copy(isLeaving = wasLeaving || endpoint.isLeaving)
         known.lapsedUntil = null
+        known.restored = null
         return if (endpoint.isLeaving && !wasLeaving) RegistrationChange.LEAVING else RegistrationChange.UPDATED
     }
 
+    /**
+     * Adds the registration of [endpoint] that a restored store has.
+     *
+     * It may be older than what is known: a known process of the same id stays in use for the time in which endpoints
+     * write their registrations again, and an unknown one is not used if it shares its address with a known one. One
+     * that was known to leave still does.
+     */
+    private fun restore(
+        now: Timestamp,
+        endpoint: RelayEndpoint,
+    ): RegistrationChange {
+        val known = entries[endpoint.id]
+        if (known == null) {
+            entriesByService = null
+            entries[endpoint.id] = Entry(withKnownLeave(now, endpoint), registeredAt = null)
+            return RegistrationChange.ADDED
+        }
+        if (known.endpoint.startedAt == endpoint.startedAt) return put(endpoint)
+        known.restored = endpoint
+        return remove(now, endpoint.id)
+    }
+
+    private fun withKnownLeave(
+        now: Timestamp,
+        endpoint: RelayEndpoint,
+    ): RelayEndpoint =
+        if (!endpoint.isLeaving && leaving.contains(now, endpoint)) endpoint.copy(isLeaving = true) else endpoint
+
     /** Removes the registration of [endpoint], or lets it lapse during and shortly after a store outage. */
     public fun remove(
         now: Timestamp,
@@ -145,10 +158,18 @@
             if (entry.lapsedUntil == null) entry.lapsedUntil = until
             return RegistrationChange.LAPSED
         }
-        entries.remove(endpoint)
+        removeEntry(now, entry)
         return RegistrationChange.REMOVED
     }
 
+    private fun removeEntry(
+        now: Timestamp,
+        entry: Entry,
+    ) {
+        entries.remove(entry.endpoint.id)
+        if (entry.endpoint.isLeaving) leaving.add(now, entry.endpoint)
+    }
+
     /** Returns until when an endpoint whose registration is removed stays in use; [now] if it has certainly left. */
     private fun lapseEnd(now: Timestamp): Timestamp {
         if (isStoreLost) return FAR_FUTURE
@@ -172,6 +193,17 @@
         entries.values.forEach { if (it.lapsedUntil != null) it.lapsedUntil = until }
     }
 
+    /**
+     * Called before the first list of a store that was restored from an older copy.
+     *
+     * Registrations that the list lacks expire after [DirectorySettings.renewalTimeout].
+     */
+    public fun onStoreRestored(now: Timestamp) {
+        isListRestored = true
+        renewalDeadline = now + settings.renewalTimeout
+        confirmedAt = null
+    }
+
     /** Called when the store has answered and all changes of registrations so far have been reported. */
     public fun onConfirmed(now: Timestamp) {
         if (!isStoreLost) confirmedAt = now
@@ -329,7 +361,7 @@
     ): Boolean {
         val entry = entryOf(endpoint) ?: return false
         if (entry.hasEnded) return false
-        return !entry.endpoint.isLeaving && !entry.isPaused(now) && entry.lapsedUntil?.let { now < it } != false
+        return !entry.endpoint.isLeaving && !entry.isPaused(now) && !entry.isExpired(now)
     }
 
     /** Returns what the registrations tell about this process of [endpoint]. */
@@ -339,7 +371,7 @@
     ): RegistrationState {
         val entry = entryOf(endpoint)
         return when {
-            entry == null || entry.lapsedUntil?.let { now >= it } == true -> RegistrationState.GONE
+            entry == null || entry.isExpired(now) -> RegistrationState.GONE
             entry.endpoint.isLeaving -> RegistrationState.LEAVING
             findByAddress(endpoint.address)?.id != endpoint.id -> RegistrationState.GONE
             else -> RegistrationState.IN_USE
@@ -381,11 +413,22 @@
         now: Timestamp,
         service: ServiceId,
     ): List<Entry> {
-        val expired = entries.values.removeIf { entry -> entry.lapsedUntil?.let { now >= it } ?: false }
-        val grouped = entriesByService?.takeUnless { expired } ?: groupByService().also { entriesByService = it }
+        expireLapsed(now)
+        val grouped = entriesByService ?: groupByService().also { entriesByService = it }
         return grouped[service].orEmpty()
     }
 
+    private fun expireLapsed(now: Timestamp) {
+        val expired = entries.values.filter { it.isExpired(now) }
+        if (expired.isEmpty()) return
+        entriesByService = null
+        for (entry in expired) {
+            removeEntry(now, entry)
+            val restored = entry.restored ?: continue
+            entries[restored.id] = Entry(withKnownLeave(now, restored), registeredAt = null)
+        }
+    }
+
     private fun groupByService(): Map<ServiceId, List<Entry>> =
         entries.values
             .groupBy { it.endpoint.address }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -271,6 +271,11 @@
         context.directory.onStoreRecovered(monotonicNow())
     }
 
+    /** Called before the first list of endpoints from a store that was restored from an older copy. */
+    public fun onEndpointsRestored() {
+        context.directory.onStoreRestored(monotonicNow())
+    }
+
     /**
      * Starts a graceful shutdown that was requested at [requestedAt]: the instance stops once every request in flight
      * is answered, and at the latest when its grace period from then on ends. Further calls have no effect.
