Ends of endpoints that a restored store lacks are written to it again

What instances know about requests under which endpoints end is kept in the store for instances that start later and for zones that are cut off from each other. After the store had come back from an older copy, an instance took what it had written for stored, so one that started later let such requests through until it had seen the ends for itself.

Cause: what the store has was remembered by the names of its objects, and a list never took a name away.

Change: before the first list of a restored store what it has is forgotten, not the ends themselves; after the list, what it lacks is written again by the instance that notices, with the same delays and the same bound on calls as before.

--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -169,6 +169,9 @@
         update { guard.forget(processes) }
     }
 
+    /** Forgets what the store has, since it was restored from an older copy; no end is forgotten. */
+    fun onStoreRestored() = stored.clear()
+
     /** Runs [change] of the guard, and acts on its result. */
     private fun <T> update(change: () -> T): T {
         val before = guard.rejections
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/Relay.kt
@@ -259,6 +259,9 @@
     /** Called when the object [name] of the store was deleted, which lifts the rejections that rest on it. */
     public fun onStoredCrashNewsRemoved(name: String): Unit = context.harmful.onStoredRemoved(name)
 
+    /** Called before [onStoredCrashNews] with all objects of a store that was restored from an older copy. */
+    public fun onCrashNewsRestored(): Unit = context.harmful.onStoreRestored()
+
     /** Called when the store stops answering this instance. */
     public fun onStoreLost() {
         EventLog.warn("store unreachable")
