Harmful parts are found at any place of a long prompt

Cause: only the first 32 parts of a prompt were known to the instance. The bound had been there for the work on one request, and cut what is learned of it by place instead of by weight.

Other bounds on what is learned of a request, found beside it and changed in the same way: the first 64 requests of an end were told to the other instances, whatever they held; after 10,000 traits had been told, all were forgotten at once; six requests went into a datagram, whatever their size.

Change: all parts are known; their number is bounded by the size of the header. What bounds the work now: - At an end of an endpoint, a request of more than 32 traits is recorded and told without those of which requests were completed, but for the 32 that were not completed for the longest time. One of which no request was answered, or none completed, is never left out: a rejection must rest on all that the requests have in common, or it hits sound ones. - The requests of an end are ordered by suspicion before any bound applies to them: parts that were at other ends already, then those that were never answered. - Traits that were in the same requests at the same ends are judged once; ends that a rejection explains are found once. - 8,192 traits for an end and 32,768 for all ends are remembered; the oldest ends that no rejection rests on are dropped. - Datagrams and log lines are divided and cut by size, the memory of what was told by last use.

--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashHistory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashHistory.kt
@@ -58,6 +58,12 @@
         return (byBegunPart[part] + byUnansweredTrait[part]).filter { isOpen(part, it) }
     }
 
+    /** Returns the requests with [part] that were in progress at [crash], one of [incompleteAt]. */
+    fun incompleteRequests(
+        part: RequestTrait,
+        crash: RecordedCrash,
+    ): List<Set<RequestTrait>> = byUnansweredTrait.requests(part, crash) + byBegunPart.requests(part, crash)
+
     fun onAnswered(
         now: Timestamp,
         trait: RequestTrait,
@@ -99,18 +105,32 @@
         crash: RecordedCrash,
         report: CrashReport,
     ): Boolean {
-        val unanswered = addNew(crash.requests, report.unanswered)
+        val unanswered = addNew(crash, crash.requests, report.unanswered)
         for (request in unanswered) {
-            request.forEach { byUnansweredTrait.add(it, crash) }
-            request.filter { it.isContent }.forEach { byContent.add(it, crash) }
+            request.forEach { byUnansweredTrait.add(it, crash, request) }
+            request.filter { it.isContent }.forEach { byContent.add(it, crash, request) }
         }
         val contents = addNew(crash.begun, report.begun)
-        contents.forEach { byContent.add(it, crash) }
-        val begun = addNew(crash.begunRequests, report.begunRequests.filter { isEvidence(it, crash) })
-        for (request in begun) request.filter { isOpen(it, crash) }.forEach { byBegunPart.add(it, crash) }
+        contents.forEach { byContent.add(it, crash, setOf(it)) }
+        val begun = addNew(crash, crash.begunRequests, report.begunRequests.filter { isEvidence(it, crash) })
+        for (request in begun) request.filter { isOpen(it, crash) }.forEach { byBegunPart.add(it, crash, request) }
         return unanswered.isNotEmpty() || contents.isNotEmpty() || begun.isNotEmpty()
     }
 
+    /** Adds those of [reported] that are not in [known], which belongs to [crash], as far as there is room for them. */
+    private fun addNew(
+        crash: RecordedCrash,
+        known: MutableSet<Set<RequestTrait>>,
+        reported: Collection<Set<RequestTrait>>,
+    ): List<Set<RequestTrait>> {
+        var room = settings.maxTraitsPerCrash - crash.traitCount
+        val fitting =
+            reported.filter { request ->
+                (request !in known && request.size <= room).also { isAdded -> if (isAdded) room -= request.size }
+            }
+        return addNew(known, fitting).also { added -> crash.traitCount += added.sumOf { it.size } }
+    }
+
     /** Adds those of [reported] that are not in [known] yet, as far as there is room, and returns them. */
     private fun <T> addNew(
         known: MutableSet<T>,
@@ -120,11 +140,37 @@
         return reported.filter { it !in known }.take(room).also { known += it }
     }
 
-    /** Drops the oldest end that is not [isNeeded] if more are remembered than the settings allow. */
+    /** Drops the oldest ends that are not [isNeeded] while more are remembered than the settings allow. */
     fun dropExcess(isNeeded: (RecordedCrash) -> Boolean) {
-        if (byProcess.size <= settings.maxRecordedCrashes) return
-        val dropped = byProcess.values.firstOrNull { !isNeeded(it) } ?: return
-        forget(setOf(dropped.process))
+        while (isExcessive()) {
+            val dropped = byProcess.values.firstOrNull { !isNeeded(it) } ?: return
+            forget(setOf(dropped.process))
+        }
+    }
+
+    private fun isExcessive(): Boolean =
+        byProcess.size > settings.maxRecordedCrashes ||
+            byProcess.values.sumOf { it.traitCount } > settings.maxRecordedTraits
+
+    /**
+     * Returns [requests], the most suspect ones first, without most of those traits that are certainly not harmful.
+     *
+     * A trait of which no request was answered, or none completed, is always kept: what many requests have in common
+     * must not be judged by a part of it. Of the others, those are kept that were not completed for the longest time.
+     */
+    fun mostSuspect(requests: Collection<Set<RequestTrait>>): List<Set<RequestTrait>> =
+        requests
+            .sortedWith(compareBy({ -mostEnds(it) }, { request -> request.all { it.isContent || wasAnswered(it) } }))
+            .map(::suspects)
+
+    private fun mostEnds(request: Set<RequestTrait>): Int =
+        request.maxOfOrNull { if (wasAnswered(it)) 0 else byUnansweredTrait[it].size } ?: 0
+
+    private fun suspects(request: Set<RequestTrait>): Set<RequestTrait> {
+        if (request.size <= settings.maxCompletedTraits) return request
+        val (known, open) = request.partition { !it.isContent && wasAnswered(it) && wasCompleted(it) }
+        val oldest = known.sortedBy { checkNotNull(completedAt[it]) }.take(settings.maxCompletedTraits)
+        return open.toCollection(LinkedHashSet()).also { it += oldest }
     }
 
     /** Forgets the ends of [processes]. */
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestGuard.kt
@@ -59,6 +59,9 @@
             }
         }
 
+    /** Returns the number of traits of all remembered requests together. */
+    internal fun recordedTraits(): Int = history.crashes.sumOf { it.traitCount }
+
     /** Returns how long requests with all traits of [rejection] are rejected from [now] on, unless more ends follow. */
     public fun rejectedFor(
         now: Timestamp,
@@ -124,6 +127,13 @@
         judge()
     }
 
+    /**
+     * Returns [requests], the most suspect ones first, without most of those traits that are certainly not harmful; it
+     * bounds what an end of an endpoint makes instances record and tell each other.
+     */
+    public fun mostSuspect(requests: Collection<Set<RequestTrait>>): List<Set<RequestTrait>> =
+        history.mostSuspect(requests)
+
     /** Records that [process] has been silent and out of reach since [at]; see [onCrash]. */
     public fun onSilent(
         at: Timestamp,
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulRequestSettings.kt
@@ -38,6 +38,16 @@
     public val maxRecordedCrashes: Int = 256,
     /** The most unanswered requests that are remembered for one end of an endpoint. */
     public val maxRequestsPerCrash: Int = 256,
+    /** The most traits of all requests at one end together that are remembered. */
+    public val maxTraitsPerCrash: Int = 8_192,
+    /** The most traits of all remembered requests together. */
+    public val maxRecordedTraits: Int = 32_768,
+    /**
+     * The most traits of a request that count at an end although requests with them were completed.
+     *
+     * A prompt may have hundreds of parts, and almost all of them are known to be sound.
+     */
+    public val maxCompletedTraits: Int = 32,
     /** The most traits of which it is remembered that requests were answered, and that they were completed. */
     public val maxKnownTraits: Int = 16_384,
 )
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulTraitFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulTraitFinder.kt
@@ -1,14 +1,19 @@
 package oriolespindle.core.crash
 
 import oriolespindle.core.time.Timestamp
+import java.util.IdentityHashMap
 
 /** Decides by the ends in [history] which traits requests are rejected for; see [HarmfulRequestGuard]. */
 internal class HarmfulTraitFinder(
     private val history: CrashHistory,
     private val settings: HarmfulRequestSettings,
 ) {
+    /** Numbers the requests by identity, to find traits that were in the same ones; the prompts may be long. */
+    private val requestNumbers = IdentityHashMap<Set<RequestTrait>, Int>()
+
     /** Returns the sets of traits such that a request with all traits of one is rejected. */
     fun find(): Set<Set<RequestTrait>> {
+        requestNumbers.clear()
         val repeated = history.byUnansweredTrait.traits.filter { hasEnoughCrashes(it) }
         val (answered, unanswered) = repeated.partition(history::wasAnswered)
         val found = LinkedHashSet(unansweredTraits(unanswered))
@@ -36,17 +41,30 @@
 
     /** Returns what requests have in common of which none was begun to be answered, judged by one of [traits] each. */
     private fun unansweredTraits(traits: List<RequestTrait>): List<Set<RequestTrait>> {
-        val candidates = traits.map(::candidateOfUnanswered).filter { it.count >= settings.maxCrashes }
+        val candidates =
+            traits
+                .distinctBy { occurrences(history.suspectedAt(it), unansweredRequests(it)) }
+                .map(::candidateOfUnanswered)
+                .filter { it.count >= settings.maxCrashes }
         val specific = candidates.filterNot { candidate -> candidates.any { explainsAsWell(it, candidate) } }
         return specific.map { it.common }
     }
 
     private fun candidateOfUnanswered(trait: RequestTrait): CrashCandidate {
         val crashes = history.suspectedAt(trait)
-        val common = traitsInAll(crashes.flatMap { crash -> crash.requests.filter { trait in it } })
+        val common = traitsInAll(unansweredRequests(trait))
         return CrashCandidate(crashes, countMoments(crashes), common.filterNotTo(LinkedHashSet(), history::wasAnswered))
     }
 
+    private fun unansweredRequests(trait: RequestTrait): List<Set<RequestTrait>> =
+        history.suspectedAt(trait).flatMap { history.byUnansweredTrait.requests(trait, it) }
+
+    /** Returns a key that is equal for traits that were in the same [requests] at the same [crashes]. */
+    private fun occurrences(
+        crashes: List<RecordedCrash>,
+        requests: List<Set<RequestTrait>>,
+    ): Any = crashes to requests.map { requestNumbers.getOrPut(it) { requestNumbers.size } }
+
     /** Whether [other] explains the same ends as [candidate] and would have fewer requests rejected. */
     private fun explainsAsWell(
         other: CrashCandidate,
@@ -63,6 +81,7 @@
         val candidates =
             history.byBegunPart.traits
                 .filter { hasEnoughCrashesOfBegun(it) }
+                .distinctBy { occurrences(begunCrashes(it), begunRequests(it)) to history.wasCompleted(it) }
                 .map(::candidateOfBegun)
                 .filter { it.count >= maxCrashes(it) }
                 .sortedWith(
@@ -84,8 +103,8 @@
     /** Returns [part] as a candidate; one of a single request counts no ends, since its content may be rejected. */
     private fun candidateOfBegun(part: RequestTrait): CrashCandidate {
         val isKnownComplete = history.wasCompleted(part)
-        val crashes = history.incompleteAt(part).filter { it.isConfirmed || !isKnownComplete }
-        val requests = crashes.flatMap { it.incomplete(part) }
+        val crashes = begunCrashes(part)
+        val requests = begunRequests(part)
         val common =
             traitsInAll(requests)
                 .filterTo(LinkedHashSet()) { it.isContent || history.incompleteAt(it).containsAll(crashes) }
@@ -98,24 +117,41 @@
         )
     }
 
+    private fun begunCrashes(part: RequestTrait): List<RecordedCrash> {
+        val isKnownComplete = history.wasCompleted(part)
+        return history.incompleteAt(part).filter { it.isConfirmed || !isKnownComplete }
+    }
+
+    private fun begunRequests(part: RequestTrait): List<Set<RequestTrait>> =
+        begunCrashes(part).flatMap { history.incompleteRequests(part, it) }
+
     /** Returns the contents that were never answered completely, with too many ends that [found] does not explain. */
     private fun contents(found: Set<Set<RequestTrait>>): List<RequestTrait> =
-        history.byContent.traits.filter { content ->
-            history.byContent[content].size >= settings.maxCrashesOfBegun && !history.wasCompleted(content) &&
-                countUnexplained(history.byContent[content], found) >= settings.maxCrashesOfBegun
+        unexplained(found).let { unexplained ->
+            history.byContent.traits.filter { content ->
+                history.byContent[content].size >= settings.maxCrashesOfBegun && !history.wasCompleted(content) &&
+                    countConfirmed(history.byContent[content], unexplained) >= settings.maxCrashesOfBegun
+            }
         }
 
     /** Returns those of [traits], of which requests were answered, with too many ends that [found] does not explain. */
     private fun answeredTraits(
         traits: List<RequestTrait>,
         found: Set<Set<RequestTrait>>,
-    ): List<RequestTrait> =
-        traits.filter { countUnexplained(history.suspectedAt(it), found) >= settings.maxCrashesOfKnown }
+    ): List<RequestTrait> {
+        val unexplained = unexplained(found)
+        return traits.filter {
+            countConfirmed(history.suspectedAt(it), unexplained) >= settings.maxCrashesOfKnown
+        }
+    }
+
+    private fun unexplained(found: Set<Set<RequestTrait>>): Set<RecordedCrash> =
+        history.crashes.filterNotTo(HashSet()) { it.isExplainedBy(found) }
 
-    private fun countUnexplained(
+    private fun countConfirmed(
         crashes: Collection<RecordedCrash>,
-        found: Set<Set<RequestTrait>>,
-    ): Int = countMoments(crashes.filter { it.isConfirmed && !it.isExplainedBy(found) })
+        unexplained: Set<RecordedCrash>,
+    ): Int = countMoments(crashes.filter { it.isConfirmed && it in unexplained })
 
     private fun traitsInAll(requests: List<Set<RequestTrait>>): Set<RequestTrait> =
         requests.reduceOrNull { common, request -> common.intersect(request) }.orEmpty()
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/RecordedCrash.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/RecordedCrash.kt
@@ -19,9 +19,8 @@
     /** The traits of each request that it had begun to answer, of which some part was not completed since. */
     val begunRequests = LinkedHashSet<Set<RequestTrait>>()
 
-    /** Returns the requests with [trait] that were not completed. */
-    fun incomplete(trait: RequestTrait): List<Set<RequestTrait>> =
-        listOf(requests, begunRequests).flatMap { some -> some.filter { trait in it } }
+    /** The number of traits of all requests together that were added to it. */
+    var traitCount = 0
 
     /** Whether a request that one of [rejections] concerns was in progress. */
     fun isExplainedBy(rejections: Collection<Set<RequestTrait>>): Boolean =
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -4,6 +4,7 @@
 import oriolespindle.core.crash.CrashReport
 import oriolespindle.core.crash.EndpointProcess
 import oriolespindle.core.crash.HarmfulRequestGuard
+import oriolespindle.core.crash.RecentlyUsedMap
 import oriolespindle.core.crash.RequestTrait
 import oriolespindle.core.time.Timestamp
 import oriolespindle.router.logging.EventLog
@@ -31,7 +32,7 @@
     private val guard = HarmfulRequestGuard()
 
     /** When the other instances were last told that requests with a trait were answered at some time. */
-    private val toldKnownAt = HashMap<RequestTrait, Timestamp>()
+    private val toldKnownAt = RecentlyUsedMap<RequestTrait, Timestamp>(MAX_TOLD_TRAITS)
 
     /** The ends of endpoints that each object of the store lists, by the object's name. */
     private val stored = HashMap<String, CrashNews>()
@@ -59,8 +60,8 @@
         val answered = if (guard.isIdle) traits.parts else traits.all
         val suspected = update { guard.onAnswered(monotonicNow(), answered) }
         if (suspected.isEmpty()) return
-        EventLog.info("requests are no longer suspected, since one was answered", "traits" to suspected)
-        send(CrashNews(answered = suspected))
+        EventLog.info("requests are no longer suspected, since one was answered", *logFields(suspected))
+        sendTraits(suspected) { CrashNews(answered = it) }
     }
 
     /** Records that a request with [traits] was completely answered, by several runs unless [isSingleRun]. */
@@ -72,21 +73,19 @@
         val completed = if (guard.isIdle) proven else proven + traits.content
         val suspected = update { guard.onCompleted(monotonicNow(), completed) }
         if (suspected.isEmpty()) return
-        EventLog.info("requests are no longer suspected, since one was completed", "traits" to suspected)
-        send(CrashNews(completed = suspected))
+        EventLog.info("requests are no longer suspected, since one was completed", *logFields(suspected))
+        sendTraits(suspected) { CrashNews(completed = it) }
     }
 
     /** Records the end of an endpoint that this instance has observed, and tells the other instances. */
     fun onCrash(crash: EndpointCrash) {
         metrics.onEndpointEnded()
-        val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
-        val requests = crash.unanswered.distinct()
-        if (requests.isEmpty() && crash.begun.isEmpty()) return
-        update { guard.onCrash(crash.at, process, requests, crash.begun.distinct()) }
+        val report = report(crash, isConfirmed = true) ?: return
+        update { guard.onCrash(crash.at, report.process, report.unanswered, report.begun) }
         checkStored()
-        tell(crash, process)
+        tell(report, crash.at)
         RESEND_DELAYS.forEach { delay ->
-            timers.after(delay) { if (isLasting(process)) tell(crash, process) }
+            timers.after(delay) { if (isLasting(report.process)) tell(report, crash.at) }
         }
     }
 
@@ -96,12 +95,28 @@
      * The others are not told again, since the platform soon shows whether the endpoint has ended.
      */
     fun onSilent(crash: EndpointCrash) {
-        val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
-        val requests = crash.unanswered.distinct()
-        if (requests.isEmpty() && crash.begun.isEmpty()) return
-        update { guard.onSilent(crash.at, process, requests, crash.begun.distinct()) }
+        val report = report(crash, isConfirmed = false) ?: return
+        update { guard.onSilent(crash.at, report.process, report.unanswered, report.begun) }
         checkStored()
-        tell(crash, process, isConfirmed = false)
+        tell(report, crash.at)
+    }
+
+    /** What is recorded of an end, and told to the other instances. */
+    private class Report(
+        val process: EndpointProcess,
+        val unanswered: List<Set<RequestTrait>>,
+        val begun: List<Set<RequestTrait>>,
+        val isConfirmed: Boolean,
+    )
+
+    private fun report(
+        crash: EndpointCrash,
+        isConfirmed: Boolean,
+    ): Report? {
+        val process = EndpointProcess(crash.endpoint.id, crash.endpoint.startedAt)
+        val unanswered = guard.mostSuspect(crash.unanswered.distinct())
+        val begun = guard.mostSuspect(crash.begun.distinct())
+        return Report(process, unanswered, begun, isConfirmed).takeIf { unanswered.isNotEmpty() || begun.isNotEmpty() }
     }
 
     /** Records that [process] has sent something, which ends what any instance has observed as its silence. */
@@ -113,30 +128,30 @@
         guard.lastingNews(monotonicNow()).crashes.any { it.process == process }
 
     private fun tell(
-        crash: EndpointCrash,
-        process: EndpointProcess,
-        isConfirmed: Boolean = true,
+        report: Report,
+        at: Timestamp,
     ) {
-        val age = (monotonicNow() - crash.at).inWholeMilliseconds
-        for (some in crash.unanswered
-            .distinct()
-            .take(MAX_REPORTED_REQUESTS)
-            .chunked(REQUESTS_PER_DATAGRAM)) {
-            send(
-                CrashNews(
-                    listOf(CrashReport(process, some, age, isConfirmed = isConfirmed)),
-                    guard.known(some.flatten()),
-                ),
-            )
+        val age = (monotonicNow() - at).inWholeMilliseconds
+        for (some in datagrams(report.unanswered)) {
+            val told = CrashReport(report.process, some, age, isConfirmed = report.isConfirmed)
+            send(CrashNews(listOf(told), guard.known(some.flatten())))
         }
-        for (some in crash.begun
-            .distinct()
-            .take(MAX_REPORTED_REQUESTS)
-            .chunked(REQUESTS_PER_DATAGRAM)) {
-            send(CrashNews(listOf(CrashReport.of(process, unanswered = emptyList(), begun = some, age, isConfirmed))))
+        for (some in datagrams(report.begun)) {
+            val told = CrashReport.of(report.process, unanswered = emptyList(), begun = some, age, report.isConfirmed)
+            send(CrashNews(listOf(told)))
         }
     }
 
+    /** Divides the first of [requests] among datagrams; one with many traits is alone, since none is divided. */
+    private fun datagrams(requests: List<Set<RequestTrait>>): List<List<Set<RequestTrait>>> =
+        divide(requests.take(MAX_REPORTED_REQUESTS)) { request -> request.sumOf { it.value.length } }
+            .take(MAX_REPORT_DATAGRAMS)
+
+    private fun sendTraits(
+        traits: Collection<RequestTrait>,
+        news: (Set<RequestTrait>) -> CrashNews,
+    ) = divide(traits) { it.value.length }.forEach { send(news(it.toSet())) }
+
     /** Merges the [news] that another instance has sent. */
     fun onNews(news: CrashNews) {
         val now = monotonicNow()
@@ -146,9 +161,9 @@
         val untold =
             answer.known.filterTo(LinkedHashSet()) { toldKnownAt[it]?.let { told -> now - told >= TOLD_TTL } ?: true }
         if (untold.isEmpty() && answer.completed.isEmpty()) return
-        if (toldKnownAt.size > MAX_TOLD_TRAITS) toldKnownAt.clear()
         untold.forEach { toldKnownAt[it] = now }
-        send(CrashNews(known = untold, completed = answer.completed))
+        sendTraits(untold) { CrashNews(known = it) }
+        sendTraits(answer.completed) { CrashNews(completed = it) }
     }
 
     /** Merges the [news] that the object [name] of the store has; they were written [age] ago. */
@@ -180,11 +195,11 @@
         for (traits in added) {
             EventLog.warn(
                 "requests are rejected, since endpoints ended under them",
-                "traits" to traits,
+                *logFields(traits),
                 "endpoints" to guard.evidence(traits).map { it.endpoint },
             )
         }
-        (before - guard.rejections).forEach { EventLog.info("requests are no longer rejected", "traits" to it) }
+        (before - guard.rejections).forEach { EventLog.info("requests are no longer rejected", *logFields(it)) }
         if (added.isNotEmpty()) onRejectionsAdded()
         return result
     }
@@ -218,8 +233,33 @@
         val TOLD_TTL = 5.seconds
         const val MAX_TOLD_TRAITS = 10_000
         const val MAX_REPORTED_REQUESTS = 64
+        const val MAX_REPORT_DATAGRAMS = 24
+
+        /** Keeps a datagram, which names some traits twice, below the usual size of a packet. */
+        const val CHARS_PER_DATAGRAM = 600
+        const val MAX_LOGGED_TRAITS = 12
 
-        /** Keeps a datagram below the usual size of a packet. */
-        const val REQUESTS_PER_DATAGRAM = 6
+        /** A prompt may have hundreds of parts. */
+        fun logFields(traits: Collection<RequestTrait>): Array<Pair<String, Any?>> =
+            arrayOf("traits" to traits.take(MAX_LOGGED_TRAITS), "count" to traits.size)
+
+        /** Divides [items] into groups of at most [CHARS_PER_DATAGRAM] together, or of a single item. */
+        fun <T> divide(
+            items: Collection<T>,
+            chars: (T) -> Int,
+        ): List<List<T>> {
+            val groups = ArrayList<MutableList<T>>()
+            var room = 0
+            for (item in items) {
+                val size = chars(item)
+                if (groups.isEmpty() || size > room) {
+                    groups += ArrayList<T>()
+                    room = CHARS_PER_DATAGRAM
+                }
+                groups.last() += item
+                room -= size
+            }
+            return groups
+        }
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/PeerHintChannel.kt
@@ -126,6 +126,10 @@
         if (receivers.isEmpty()) return
         val text = format.encodeToString(Message.serializer(), encode(hint))
         val bytes = text.toByteArray()
+        if (bytes.size > MAX_DATAGRAM_BYTES) {
+            EventLog.warn("hint for other instances is too large for a datagram", "bytes" to bytes.size)
+            return
+        }
         receivers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it.toSocketAddress())) }
         sender.flush()
     }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTraits.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTraits.kt
@@ -38,7 +38,7 @@
  * Returns the ids of the parts of a prompt that other requests may share.
  *
  * [header] lists the parts in order, separated by commas, each as an id, a colon and a number of tokens. The last part
- * belongs to the request or its session alone.
+ * belongs to the request or its session alone. Their number is bounded by the size of the header only.
  */
 internal fun sharedParts(header: String?): List<String> =
     header
@@ -46,8 +46,4 @@
         ?.dropLast(1)
         ?.map { it.substringBefore(':').trim() }
         ?.filter { it.isNotEmpty() }
-        ?.take(MAX_SHARED_PARTS)
         .orEmpty()
-
-/** Bounds the work for one request; prompts of callers have a few parts. */
-private const val MAX_SHARED_PARTS = 32
