--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashHistory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/CrashHistory.kt
@@ -160,11 +160,16 @@
      */
     fun mostSuspect(requests: Collection<Set<RequestTrait>>): List<Set<RequestTrait>> =
         requests
-            .sortedWith(compareBy({ -mostEnds(it) }, { request -> request.all { it.isContent || wasAnswered(it) } }))
-            .map(::suspects)
-
-    private fun mostEnds(request: Set<RequestTrait>): Int =
-        request.maxOfOrNull { if (wasAnswered(it)) 0 else byUnansweredTrait[it].size } ?: 0
+            .map { it to suspicion(it) }
+            .sortedByDescending { (_, suspicion) -> suspicion }
+            .map { (request, _) -> suspects(request) }
+
+    /** Returns at how many ends the most suspect trait of [request] is held against it, counting the present one. */
+    private fun suspicion(request: Set<RequestTrait>): Int =
+        request.maxOfOrNull { trait ->
+            val isPresentHeldAgainst = !trait.isContent && !wasAnswered(trait)
+            if (wasAnswered(trait)) 0 else byUnansweredTrait[trait].size + (if (isPresentHeldAgainst) 1 else 0)
+        } ?: 0
 
     private fun suspects(request: Set<RequestTrait>): Set<RequestTrait> {
         if (request.size <= settings.maxCompletedTraits) return request
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulTraitFinder.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/crash/HarmfulTraitFinder.kt
@@ -126,13 +126,13 @@
         begunCrashes(part).flatMap { history.incompleteRequests(part, it) }
 
     /** Returns the contents that were never answered completely, with too many ends that [found] does not explain. */
-    private fun contents(found: Set<Set<RequestTrait>>): List<RequestTrait> =
-        unexplained(found).let { unexplained ->
-            history.byContent.traits.filter { content ->
-                history.byContent[content].size >= settings.maxCrashesOfBegun && !history.wasCompleted(content) &&
-                    countConfirmed(history.byContent[content], unexplained) >= settings.maxCrashesOfBegun
-            }
+    private fun contents(found: Set<Set<RequestTrait>>): List<RequestTrait> {
+        val unexplained = unexplained(found)
+        return history.byContent.traits.filter { content ->
+            history.byContent[content].size >= settings.maxCrashesOfBegun && !history.wasCompleted(content) &&
+                countConfirmed(history.byContent[content], unexplained) >= settings.maxCrashesOfBegun
         }
+    }
 
     /** Returns those of [traits], of which requests were answered, with too many ends that [found] does not explain. */
     private fun answeredTraits(
--- a/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
+++ b/oriolespindle-core/src/main/kotlin/oriolespindle/core/relay/EndpointDirectory.kt
@@ -1,6 +1,5 @@
 package oriolespindle.core.relay
 
-import oriolespindle.core.config.Revision
 import oriolespindle.core.id.EndpointId
 import oriolespindle.core.id.ServiceId
 import oriolespindle.core.time.Timestamp
@@ -29,42 +28,10 @@
 public class EndpointDirectory(
     private val settings: DirectorySettings = DirectorySettings(),
 ) {
-    private inner class Entry(
-        var endpoint: RelayEndpoint,
-        /** The first known revision of this process's registration; null if a restored store had it already. */
-        val registeredAt: Revision? = endpoint.revision,
-    ) {
-        var lapsedUntil: Timestamp? = null
-
-        /** The process that a restored store has under this id; it is used if this one is not registered again. */
-        var restored: RelayEndpoint? = null
-        val failureBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxFailureBackoff)
-        val refusalBackoff = ExponentialBackoff(settings.initialBackoff, settings.maxRefusalBackoff)
-        var refusedAt: Timestamp? = null
-
-        /** When the pause ends that the endpoint has asked for; null if it has asked for none. */
-        var pausedUntil: Timestamp? = null
-
-        /** Whether nothing listens at the endpoint's address any more. */
-        var hasEnded = false
-
-        fun isExpired(now: Timestamp): Boolean = lapsedUntil?.let { now >= it } ?: false
-
-        fun isPaused(now: Timestamp): Boolean = pausedUntil?.let { now < it } ?: false
-
-        fun isBackingOff(now: Timestamp): Boolean = failureBackoff.isActive(now) || refusalBackoff.isActive(now)
-
-        /** The time until neither a pause nor a backoff is active. */
-        fun availableIn(now: Timestamp): Duration {
-            val pause = pausedUntil?.let { it - now } ?: Duration.ZERO
-            return maxOf(pause, failureBackoff.remaining(now), refusalBackoff.remaining(now))
-        }
-    }
-
-    private val entries = HashMap<EndpointId, Entry>()
+    private val entries = HashMap<EndpointId, DirectoryEntry>()
 
     /** The current entries by service; null after a change of the registrations. */
-    private var entriesByService: Map<ServiceId, List<Entry>>? = null
+    private var entriesByService: Map<ServiceId, List<DirectoryEntry>>? = null
     private var isStoreLost = false
 
     /** When registrations that lapsed in the latest store outage expire; null before it and while it lasts. */
@@ -107,7 +74,7 @@
         if (known != null && REGISTRATION_ORDER.compare(endpoint, known.endpoint) < 0) return RegistrationChange.IGNORED
         entriesByService = null
         if (known == null || endpoint.startedAt != known.endpoint.startedAt) {
-            entries[endpoint.id] = Entry(endpoint)
+            entries[endpoint.id] = DirectoryEntry(endpoint, settings)
             return RegistrationChange.ADDED
         }
         val wasLeaving = known.endpoint.isLeaving
@@ -132,7 +99,7 @@
         val known = entries[endpoint.id]
         if (known == null) {
             entriesByService = null
-            entries[endpoint.id] = Entry(withKnownLeave(now, endpoint), registeredAt = null)
+            entries[endpoint.id] = DirectoryEntry(withKnownLeave(now, endpoint), settings, registeredAt = null)
             return RegistrationChange.ADDED
         }
         if (known.endpoint.startedAt == endpoint.startedAt) return put(endpoint)
@@ -164,7 +131,7 @@
 
     private fun removeEntry(
         now: Timestamp,
-        entry: Entry,
+        entry: DirectoryEntry,
     ) {
         entries.remove(entry.endpoint.id)
         if (entry.endpoint.isLeaving) leaving.add(now, entry.endpoint)
@@ -316,7 +283,7 @@
     }
 
     /** Returns the entry of this process of [endpoint], or null if it is not registered. */
-    private fun entryOf(endpoint: RelayEndpoint): Entry? =
+    private fun entryOf(endpoint: RelayEndpoint): DirectoryEntry? =
         entries[endpoint.id]?.takeIf { it.endpoint.startedAt == endpoint.startedAt }
 
     /**
@@ -412,7 +379,7 @@
     private fun currentEntries(
         now: Timestamp,
         service: ServiceId,
-    ): List<Entry> {
+    ): List<DirectoryEntry> {
         expireLapsed(now)
         val grouped = entriesByService ?: groupByService().also { entriesByService = it }
         return grouped[service].orEmpty()
@@ -425,11 +392,11 @@
         for (entry in expired) {
             removeEntry(now, entry)
             val restored = entry.restored ?: continue
-            entries[restored.id] = Entry(withKnownLeave(now, restored), registeredAt = null)
+            entries[restored.id] = DirectoryEntry(withKnownLeave(now, restored), settings, registeredAt = null)
         }
     }
 
-    private fun groupByService(): Map<ServiceId, List<Entry>> =
+    private fun groupByService(): Map<ServiceId, List<DirectoryEntry>> =
         entries.values
             .groupBy { it.endpoint.address }
             .values
@@ -445,6 +412,6 @@
         val REGISTRATION_ORDER = compareBy<RelayEndpoint>({ it.revision }, { it.startedAt })
 
         /** Orders processes by their first registrations; later ones may be delayed writes of a process that ended. */
-        val PROCESS_ORDER = compareBy<Entry>({ it.registeredAt }, { it.endpoint.startedAt })
+        val PROCESS_ORDER = compareBy<DirectoryEntry>({ it.registeredAt }, { it.endpoint.startedAt })
     }
 }
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/HarmfulRequests.kt
@@ -60,7 +60,7 @@
         val answered = if (guard.isIdle) traits.parts else traits.all
         val suspected = update { guard.onAnswered(monotonicNow(), answered) }
         if (suspected.isEmpty()) return
-        EventLog.info("requests are no longer suspected, since one was answered", *logFields(suspected))
+        EventLog.info("requests are no longer suspected, since one was answered", *traitFields(suspected))
         sendTraits(suspected) { CrashNews(answered = it) }
     }
 
@@ -73,7 +73,7 @@
         val completed = if (guard.isIdle) proven else proven + traits.content
         val suspected = update { guard.onCompleted(monotonicNow(), completed) }
         if (suspected.isEmpty()) return
-        EventLog.info("requests are no longer suspected, since one was completed", *logFields(suspected))
+        EventLog.info("requests are no longer suspected, since one was completed", *traitFields(suspected))
         sendTraits(suspected) { CrashNews(completed = it) }
     }
 
@@ -195,11 +195,11 @@
         for (traits in added) {
             EventLog.warn(
                 "requests are rejected, since endpoints ended under them",
-                *logFields(traits),
+                *traitFields(traits),
                 "endpoints" to guard.evidence(traits).map { it.endpoint },
             )
         }
-        (before - guard.rejections).forEach { EventLog.info("requests are no longer rejected", *logFields(it)) }
+        (before - guard.rejections).forEach { EventLog.info("requests are no longer rejected", *traitFields(it)) }
         if (added.isNotEmpty()) onRejectionsAdded()
         return result
     }
@@ -237,11 +237,6 @@
 
         /** Keeps a datagram, which names some traits twice, below the usual size of a packet. */
         const val CHARS_PER_DATAGRAM = 600
-        const val MAX_LOGGED_TRAITS = 12
-
-        /** A prompt may have hundreds of parts. */
-        fun logFields(traits: Collection<RequestTrait>): Array<Pair<String, Any?>> =
-            arrayOf("traits" to traits.take(MAX_LOGGED_TRAITS), "count" to traits.size)
 
         /** Divides [items] into groups of at most [CHARS_PER_DATAGRAM] together, or of a single item. */
         fun <T> divide(
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RelaySession.kt
@@ -115,7 +115,7 @@
         }
 
     private fun endRejected(rejection: Set<RequestTrait>) {
-        EventLog.info("request rejected", "request" to request.id, "traits" to rejection)
+        EventLog.info("request rejected", "request" to request.id, *traitFields(rejection))
         endWithoutAnswer(RelayAnswers.QUARANTINED, BAD_GATEWAY, context.harmful.rejectedFor(rejection))
     }
 
--- a/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTraits.kt
+++ b/oriolespindle-router/src/main/kotlin/oriolespindle/router/relay/RequestTraits.kt
@@ -34,6 +34,12 @@
     }
 }
 
+/** Returns the log fields for [traits], of which there may be hundreds: the first ones and their number. */
+internal fun traitFields(traits: Collection<RequestTrait>): Array<Pair<String, Any?>> =
+    arrayOf("traits" to traits.take(MAX_LOGGED_TRAITS), "count" to traits.size)
+
+private const val MAX_LOGGED_TRAITS = 12
+
 /**
  * Returns the ids of the parts of a prompt that other requests may share.
  *
