--- a/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/LongPromptTest.kt
+++ b/oriolespindle-core/src/test/kotlin/oriolespindle/core/crash/LongPromptTest.kt
@@ -123,7 +123,7 @@
     }
 
     private companion object {
-        /** As many parts as a header of 16 KB holds. */
+        /** About as many parts with ids of eight digits as a header of 16 KB holds. */
         const val PARTS = 1_300
 
         /** The completed parts, the harmful one and the content. */
